--- /dev/null
+++ b/cmd/saffronbend/main.go
@@ -0,0 +1,94 @@
+// Command saffronbend runs a controller of the saffronbend cluster scheduler.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"saffronbend"
+	"saffronbend/internal/settings"
+)
+
+// version is the release's number.
+const version = "0.1.0"
+
+type cli struct {
+	Config  string           `help:"The platform's settings file (TOML)." placeholder:"FILE"`
+	Options string           `help:"The operators' options (protobuf text format)." placeholder:"FILE"`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+
+	Run   runCmd   `cmd:"" default:"1" help:"Run a controller until it is killed (default)."`
+	Check checkCmd `cmd:"" help:"Check the settings and the options, and exit."`
+}
+
+type (
+	runCmd   struct{}
+	checkCmd struct{}
+)
+
+func (c *cli) load() (*settings.Settings, error) {
+	if c.Config == "" {
+		return nil, errors.New("--config FILE is missing")
+	}
+	return settings.Load(c.Config, c.Options)
+}
+
+func logLevel() (slog.Level, error) {
+	switch l := os.Getenv("LOG_LEVEL"); l {
+	case "error":
+		return slog.LevelError, nil
+	case "", "info":
+		return slog.LevelInfo, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	default:
+		return 0, fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", l)
+	}
+}
+
+func (runCmd) Run(c *cli) error {
+	level, err := logLevel()
+	if err != nil {
+		return err
+	}
+	set, err := c.load()
+	if err != nil {
+		return err
+	}
+	// The process is ended when it holds more memory than its limit; the runtime's
+	// own share and the kernel's buffers come out of the same limit.
+	debug.SetMemoryLimit(int64(set.Deployment.Limits.MemoryMB * 0.7 * (1 << 20)))
+	runtime.GOMAXPROCS(int(math.Ceil(set.Deployment.Limits.CoreShare)))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return saffronbend.New(set, log).Run(ctx)
+}
+
+func (checkCmd) Run(c *cli) error {
+	if _, err := logLevel(); err != nil {
+		return err
+	}
+	if _, err := c.load(); err != nil {
+		return err
+	}
+	fmt.Println("settings and options are sound")
+	return nil
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("saffronbend"), kong.Description("A cluster scheduler: places users' tasks on rented machines."),
+		kong.Vars{"version": "saffronbend " + version})
+	ctx.FatalIfErrorf(ctx.Run(&c))
+}
--- /dev/null
+++ b/elect.go
@@ -0,0 +1,229 @@
+package saffronbend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"saffronbend/internal/election"
+	"saffronbend/internal/micros"
+	"saffronbend/internal/state"
+	"saffronbend/wire"
+)
+
+// elector drives the election: it carries out its effects and starts and ends what
+// the controller does as a leader or as a follower.
+type elector struct {
+	n     *Node
+	e     *election.Election
+	life  micros.Span
+	inbox chan func() []election.Effect
+
+	following string
+	token     uint64
+	stop      context.CancelFunc // ends the term, or the following
+}
+
+// permitLife is how long a leader that ends without a word keeps others waiting, if
+// its host does not refuse connections.
+const permitLife = 5 * micros.Second
+
+func newElector(n *Node) *elector {
+	w := n.set.Deployment.Workers
+	// A leader cut off from the state service goes on answering workers, but not so
+	// long that a cancellation it can't hear of would be missed.
+	const margin = 4 * micros.Second
+	lease := micros.Seconds(w.LeaseS)
+	bound := max(micros.Second, micros.Seconds(w.CancelS)-lease-lease/500-margin)
+	life := min(permitLife, bound)
+	return &elector{n: n, life: life, inbox: make(chan func() []election.Effect, 64),
+		e: election.New(election.Config{Member: n.set.Member, Run: n.run, Life: life,
+			Margin: life / 10, Bound: bound})}
+}
+
+func (d *elector) run(ctx context.Context) {
+	d.n.start(func() { d.watch(ctx) })
+	tick := time.NewTicker((100 * micros.Millisecond).Duration())
+	defer tick.Stop()
+	for {
+		var effects []election.Effect
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-d.inbox:
+			effects = f()
+		case <-tick.C:
+			effects = d.e.Tick(d.n.clock.Now())
+		}
+		for _, e := range effects {
+			d.carryOut(ctx, e)
+		}
+		d.settle(ctx)
+	}
+}
+
+// post hands an outcome to the election's goroutine.
+func (d *elector) post(ctx context.Context, f func(now micros.Time) []election.Effect) {
+	select {
+	case d.inbox <- func() []election.Effect { return f(d.n.clock.Now()) }:
+	case <-ctx.Done():
+	}
+}
+
+// settle makes the controller's role that which the election says.
+func (d *elector) settle(ctx context.Context) {
+	n := d.n
+	leading, promise, answer := d.e.Leading()
+	member, token := d.e.Leader()
+	if leading {
+		if t := n.role.Load().term; t != nil && t.token == token {
+			t.promise.Store(int64(promise))
+			t.answer.Store(int64(answer))
+			return
+		}
+	}
+	if member == d.following && token == d.token {
+		return
+	}
+	if d.stop != nil {
+		d.stop()
+		d.stop = nil
+	}
+	d.following, d.token = member, token
+	n.role.Store(&role{leader: member})
+	switch {
+	case member == "":
+	case leading:
+		tctx, cancel := context.WithCancel(ctx)
+		t := newTerm(n, token, func(why string) {
+			d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Deposed(now, token, why) })
+		})
+		t.promise.Store(int64(promise))
+		t.answer.Store(int64(answer))
+		d.stop = cancel
+		n.role.Store(&role{term: t, leader: member})
+		n.start(func() { t.run(tctx) })
+	default:
+		fctx, cancel := context.WithCancel(ctx)
+		d.stop = cancel
+		n.log.Info("following a leader", "leader", member, "token", token)
+		n.start(func() {
+			n.follow(fctx, member, token, func() {
+				d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Refused(now, token) })
+			})
+		})
+	}
+}
+
+func outcome(err error) election.Outcome {
+	var c *state.Conflict
+	switch {
+	case err == nil:
+		return election.OK
+	case errors.As(err, &c):
+		return election.Conflict
+	case errors.Is(err, state.ErrNoLease):
+		return election.NoPermit
+	}
+	return election.Unknown
+}
+
+func (d *elector) carryOut(ctx context.Context, e election.Effect) {
+	n := d.n
+	asked := n.clock.Now()
+	switch {
+	case e.Read:
+		n.start(func() { _, _ = d.read(ctx) })
+	case e.Grant:
+		n.start(func() {
+			permit, err := n.state.Grant(ctx, d.life.Duration())
+			d.post(ctx, func(now micros.Time) []election.Effect {
+				return d.e.Granted(now, asked, permit, outcome(err))
+			})
+		})
+	case e.Claim != nil:
+		n.start(func() {
+			value, err := json.Marshal(e.Claim.Record)
+			var version uint64
+			if err == nil {
+				version, err = n.state.Txn(ctx, wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: e.Claim.Version}},
+					Then: []wire.Change{{Put: state.LeaderKey, Value: value, Lease: e.Claim.Permit}}})
+			}
+			d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Claimed(now, version, outcome(err)) })
+		})
+	case e.Renew != 0:
+		n.start(func() {
+			err := n.state.Renew(ctx, e.Renew)
+			if err == nil {
+				n.served()
+			}
+			d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Renewed(now, asked, outcome(err)) })
+		})
+	case e.Lead != 0:
+		n.log.Info("leading", "token", e.Lead)
+	case e.Lost != "":
+		n.log.Info("no longer leading", "why", e.Lost)
+	}
+}
+
+// served notes that the state service has served this controller.
+func (n *Node) served() { n.stateOK.Store(int64(n.clock.Now())) }
+
+// read reads the leader's key and gives the revision to watch from.
+func (d *elector) read(ctx context.Context) (uint64, bool) {
+	items, revision, err := d.n.state.List(ctx, state.LeaderKey)
+	if err != nil {
+		d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Seen(now, nil, 0, false) })
+		return 0, false
+	}
+	d.n.served()
+	var rec *state.LeaderRecord
+	version := revision
+	for _, it := range items {
+		if it.Key == state.LeaderKey {
+			rec, version = d.decode(it.Value), it.Version
+		}
+	}
+	d.seen(ctx, rec, version)
+	return revision, true
+}
+
+func (d *elector) decode(value []byte) *state.LeaderRecord {
+	rec := new(state.LeaderRecord)
+	if err := json.Unmarshal(value, rec); err != nil {
+		d.n.log.Error("the leader's record can't be read", "err", err)
+	}
+	return rec
+}
+
+func (d *elector) seen(ctx context.Context, rec *state.LeaderRecord, version uint64) {
+	d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Seen(now, rec, version, true) })
+}
+
+// watch follows the leader's key.
+func (d *elector) watch(ctx context.Context) {
+	const block = 4 * time.Second
+	for ctx.Err() == nil {
+		from, ok := d.read(ctx)
+		for ok {
+			r, err := d.n.state.Watch(ctx, state.LeaderKey, from, block)
+			if err != nil {
+				break
+			}
+			d.n.served()
+			from = r.Revision
+			for _, ev := range r.Events {
+				switch {
+				case ev.Put == state.LeaderKey:
+					d.seen(ctx, d.decode(ev.Value), ev.Version)
+				case ev.Delete == state.LeaderKey:
+					d.seen(ctx, nil, ev.Version)
+				}
+			}
+		}
+		if !sleep(ctx, 200*micros.Millisecond) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/follow.go
@@ -0,0 +1,128 @@
+package saffronbend
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"saffronbend/internal/manager"
+	"saffronbend/internal/micros"
+	"saffronbend/internal/peer"
+	"saffronbend/internal/scheduler"
+)
+
+// follow keeps a stream to the leader until ctx ends, and hands its views to the
+// placer. refused is called when the leader's host, having served us, refuses
+// connections.
+func (n *Node) follow(ctx context.Context, leader string, token uint64, refused func()) {
+	addr := ""
+	for _, p := range n.set.Peers {
+		if p.Member == leader {
+			addr = p.Addr
+		}
+	}
+	if addr == "" {
+		n.log.Error("the leader is not among the seeds", "leader", leader)
+		return
+	}
+	c := peer.NewClient(addr, n.set.Member, token)
+	defer c.Close()
+	served, refusals := false, 0
+	for ctx.Err() == nil {
+		err := c.Views(ctx, func(v *manager.View) {
+			served, refusals = true, 0
+			n.show(v)
+			n.placer.offer(v, c.Ask)
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		n.log.Debug("the leader's stream ended", "leader", leader, "err", err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			refusals++
+		}
+		if served && refusals >= 2 {
+			refused()
+		}
+		if !sleep(ctx, 150*micros.Millisecond) {
+			return
+		}
+	}
+}
+
+// askFunc sends lease requests to the leader.
+type askFunc func(ctx context.Context, r []manager.Request) (*peer.Answers, error)
+
+// placer runs the framework scheduler of this controller's teams. It owns the
+// scheduler; views come over a channel that holds the newest.
+type placer struct {
+	n     *Node
+	views chan offered
+}
+
+type offered struct {
+	view *manager.View
+	ask  askFunc
+}
+
+func newPlacer(n *Node) *placer { return &placer{n: n, views: make(chan offered, 1)} }
+
+// offer replaces the view that waits, if any, by a newer one. Only one goroutine
+// offers at a time.
+func (p *placer) offer(v *manager.View, ask askFunc) {
+	for {
+		select {
+		case p.views <- offered{v, ask}:
+			return
+		case old := <-p.views:
+			v = newer(old.view, v)
+		}
+	}
+}
+
+// newer gives the newer view along with the news of the one it replaces.
+func newer(old, v *manager.View) *manager.View {
+	if old.Token != v.Token || len(old.Finished) == 0 {
+		return v
+	}
+	both := *v
+	both.Finished = append(append([]manager.Finished(nil), old.Finished...), v.Finished...)
+	return &both
+}
+
+func (p *placer) run(ctx context.Context) {
+	n := p.n
+	s := scheduler.New(n.set.Member, n.set.Tuning)
+	var asked micros.Time
+	for {
+		var o offered
+		select {
+		case <-ctx.Done():
+			return
+		case o = <-p.views:
+		}
+		if types := n.Types(); types != nil {
+			s.SetTypes(types)
+		}
+		s.View(n.clock.Now(), o.view)
+		for again := true; again; again = s.Unfinished() && len(p.views) == 0 {
+			began := time.Now()
+			budget := n.set.Tuning.RoundBudget.Duration()
+			requests := s.Round(n.clock.Now(), func() bool { return time.Since(began) > budget })
+			// An empty request is a sign of life for the leader.
+			if len(requests) == 0 && n.clock.Now().Sub(asked) < 400*micros.Millisecond {
+				continue
+			}
+			asked = n.clock.Now()
+			ans, err := o.ask(ctx, requests)
+			if err != nil {
+				n.log.Debug("lease requests were not served", "err", err)
+				break
+			}
+			if len(requests) > 0 {
+				s.Granted(ans.Version)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/api/finals.go
@@ -0,0 +1,34 @@
+package api
+
+import "sync"
+
+// finals remembers jobs that are over; their state never changes again. It keeps two
+// generations, so that memory stays bounded and recent jobs stay known.
+type finals struct {
+	mu       sync.Mutex
+	cap      int
+	new, old map[string]string
+}
+
+func newFinals(size int) *finals {
+	return &finals{cap: size / 2, new: map[string]string{}, old: map[string]string{}}
+}
+
+func (f *finals) get(id string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st, ok := f.new[id]
+	if !ok {
+		st, ok = f.old[id]
+	}
+	return st, ok
+}
+
+func (f *finals) put(id, status string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.new) >= f.cap {
+		f.old, f.new = f.new, map[string]string{}
+	}
+	f.new[id] = status
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,140 @@
+// Package cloud is the client of the cloud that rents machines.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"saffronbend/wire"
+)
+
+// ErrNoCapacity says that none of the machines asked for can be had now.
+var ErrNoCapacity = errors.New("no capacity")
+
+// ErrUnavailable says that the cloud did not carry the request out.
+var ErrUnavailable = errors.New("the cloud does not serve now")
+
+// Client talks to the cloud within its limits.
+type Client struct {
+	base string
+	http *http.Client
+	lim  *rate.Limiter
+}
+
+// New makes a client.
+func New(addr string, rps float64) *Client {
+	d := &net.Dialer{Timeout: 2 * time.Second}
+	tr := &http.Transport{DialContext: d.DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4,
+		IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: tr},
+		lim: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+}
+
+// SetShare changes how many requests a second this controller may send.
+func (c *Client) SetShare(rps float64) {
+	c.lim.SetLimit(rate.Limit(rps))
+	c.lim.SetBurst(max(1, int(rps)))
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	if err := c.lim.Wait(ctx); err != nil {
+		return ErrUnavailable
+	}
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("cloud: encode: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("cloud: read: %w", err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		var e wire.Error
+		if json.Unmarshal(data, &e) == nil && e.Error == ErrNoCapacity.Error() {
+			return ErrNoCapacity
+		}
+		return ErrUnavailable
+	case http.StatusTooManyRequests:
+		return ErrUnavailable
+	default:
+		return fmt.Errorf("cloud: status %d", resp.StatusCode)
+	}
+	if out != nil {
+		if err := json.Unmarshal(data, out); err != nil {
+			return fmt.Errorf("cloud: answer: %w", err)
+		}
+	}
+	return nil
+}
+
+// Types lists the machine types with their current prices.
+func (c *Client) Types(ctx context.Context) ([]wire.MachineType, error) {
+	var t wire.MachineTypes
+	if err := c.do(ctx, http.MethodGet, "/machine_types", nil, &t); err != nil {
+		return nil, err
+	}
+	return t.Types, nil
+}
+
+// Hire rents machines. After an error other than ErrNoCapacity and ErrUnavailable
+// the machines may exist all the same; repeating the same request is safe.
+func (c *Client) Hire(ctx context.Context, h wire.Hire) ([]string, error) {
+	var n wire.Names
+	if err := c.do(ctx, http.MethodPost, "/machines", h, &n); err != nil {
+		return nil, err
+	}
+	return n.Machines, nil
+}
+
+// Delete returns machines; nil means that they and all on them are gone.
+func (c *Client) Delete(ctx context.Context, names []string) error {
+	return c.do(ctx, http.MethodPost, "/machines/delete", wire.Names{Machines: names}, nil)
+}
+
+// List reads the whole list of machines.
+func (c *Client) List(ctx context.Context) ([]wire.Machine, error) {
+	var all []wire.Machine
+	from := ""
+	for {
+		q := url.Values{"page": {"500"}}
+		if from != "" {
+			q.Set("from", from)
+		}
+		var l wire.MachineList
+		if err := c.do(ctx, http.MethodGet, "/machines?"+q.Encode(), nil, &l); err != nil {
+			return nil, err
+		}
+		all = append(all, l.Machines...)
+		if !l.More || len(l.Machines) == 0 {
+			return all, nil
+		}
+		from = l.Machines[len(l.Machines)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/manager/show.go
@@ -0,0 +1,190 @@
+package manager
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"saffronbend/internal/micros"
+	"saffronbend/wire"
+)
+
+// Changed tells whether anything has happened since the last view.
+func (m *Manager) Changed() bool { return m.changed }
+
+// NextVersion is the version of the next view, the first that shows what has been
+// granted until now.
+func (m *Manager) NextVersion() uint64 { return m.version + 1 }
+
+// View shows all resources and jobs.
+func (m *Manager) View(now micros.Time) *View {
+	m.version++
+	m.changed = false
+	v := &View{Token: m.cfg.Token, Version: m.version, StateOK: m.stateOK, Assign: maps.Clone(m.assign), Finished: m.finished}
+	m.finished = nil
+	for _, id := range slices.Sorted(maps.Keys(m.machines)) {
+		v.Machines = append(v.Machines, m.showMachine(now, m.machines[id]))
+	}
+	for _, id := range m.order {
+		j := m.jobs[id]
+		if j.over == "" {
+			v.Jobs = append(v.Jobs, m.showJob(now, j))
+		}
+	}
+	return v
+}
+
+func (m *Manager) showMachine(now micros.Time, mc *machine) MachineView {
+	mv := MachineView{ID: mc.id, Type: mc.typ, Zone: mc.zone, Spot: mc.spot, Up: mc.up, Usable: m.usable(now, mc),
+		State: mc.state, Failed: mc.state == wire.MachineFailed, Deleting: mc.deleting, Draining: mc.draining,
+		Suspect: mc.suspect, Missing: mc.unlisted >= 3, Age: now.Sub(mc.born), Silent: now.Sub(mc.lastHeard),
+		Proven: len(mc.attempts) == 0 && len(mc.strays) == 0}
+	mv.CPUs, mv.GPUs, mv.MemoryGB = m.free(mc)
+	if mv.Proven {
+		mv.Idle = now.Sub(mc.idleSince)
+	}
+	for _, name := range slices.Sorted(maps.Keys(mc.images)) {
+		if mc.images[name].ready {
+			mv.Images = append(mv.Images, name)
+		} else {
+			mv.Fetching = append(mv.Fetching, name)
+		}
+	}
+	for _, a := range sorted(mc.attempts) {
+		jb := &a.job.rec.Job
+		l := LeaseView{Job: jb.ID, Attempt: a.id, CPUs: jb.CPUs, GPUs: jb.GPUs, MemoryGB: jb.MemoryGB, EndsIn: a.leaseEnd.Sub(now)}
+		// A lease that has run out gets its grace; then its waiter decides again.
+		if now < a.waiterUntil {
+			l.Waiter = a.waiter
+		}
+		mv.Leases = append(mv.Leases, l)
+	}
+	return mv
+}
+
+func (m *Manager) showJob(now micros.Time, j *job) JobView {
+	jb := &j.rec.Job
+	jv := JobView{ID: jb.ID, Class: jb.Class, Team: jb.Team, Priority: jb.Priority(), CPUs: jb.CPUs, GPUs: jb.GPUs,
+		MemoryGB: jb.MemoryGB, Image: jb.Image, ImageGB: jb.ImageGB, Types: jb.Types, Zone: jb.Zone, Spot: jb.Spot,
+		Special: jb.OneZone || jb.Spread, Estimate: micros.Seconds(jb.EstimateS), Waiting: j.waiting, Active: len(j.active),
+		Done: j.done, Room: m.room(j), Age: now.Sub(j.born), Due: micros.Forever}
+	if now < j.notBefore {
+		jv.Waiting = 0
+	}
+	if j.due != 0 {
+		jv.Due = j.due.Sub(now)
+	}
+	for _, a := range j.active {
+		if a.listed && a.state != wire.TaskFetching {
+			jv.Running++
+		}
+	}
+	if len(j.failed) < 3 {
+		jv.Avoid = slices.Sorted(maps.Keys(j.failed))
+	}
+	return jv
+}
+
+// Preempt stops work of lower priority for jobs that have waited longer than the
+// operators allow and find no room. What is already being stopped counts as room.
+func (m *Manager) Preempt(now micros.Time) {
+	var needy []*job
+	for _, id := range m.order {
+		j := m.jobs[id]
+		if j.over == "" && j.waiting > 0 && now >= j.notBefore && m.room(j) > 0 &&
+			now.Sub(j.waitSince) > m.cfg.Tuning.PreemptAfter && j.rec.Job.Priority() > 0 {
+			needy = append(needy, j)
+		}
+	}
+	slices.SortStableFunc(needy, func(a, b *job) int { return cmp.Compare(b.rec.Job.Priority(), a.rec.Job.Priority()) })
+	type space struct{ cpus, gpus, mem float64 }
+	spaces := map[string]*space{}
+	ids := slices.Sorted(maps.Keys(m.machines))
+	for _, id := range ids {
+		mc := m.machines[id]
+		if !m.usable(now, mc) {
+			continue
+		}
+		s := &space{}
+		s.cpus, s.gpus, s.mem = m.free(mc)
+		for _, a := range mc.attempts {
+			if a.stop {
+				s.cpus, s.gpus, s.mem = s.cpus+a.job.rec.Job.CPUs, s.gpus+a.job.rec.Job.GPUs, s.mem+a.job.rec.Job.MemoryGB
+			}
+		}
+		spaces[id] = s
+	}
+	budget := 4
+	for _, j := range needy {
+		jb := &j.rec.Job
+		fits := func(s *space) bool { return jb.CPUs <= s.cpus && jb.GPUs <= s.gpus && jb.MemoryGB <= s.mem }
+		allowed := func(id string) bool {
+			mc := m.machines[id]
+			return jb.Allows(mc.spec, mc.zone, mc.spot) && m.zoneAllows(j, mc.zone) && j.failed[id] == 0
+		}
+		take := func(s *space) { s.cpus, s.gpus, s.mem = s.cpus-jb.CPUs, s.gpus-jb.GPUs, s.mem-jb.MemoryGB }
+	tasks:
+		for range min(j.waiting, m.room(j), 64) {
+			for _, id := range ids {
+				if s := spaces[id]; s != nil && allowed(id) && fits(s) {
+					take(s)
+					continue tasks
+				}
+			}
+			if budget == 0 {
+				return
+			}
+			best, bestLoss := "", micros.Forever
+			for _, id := range ids {
+				s := spaces[id]
+				if s == nil || !allowed(id) {
+					continue
+				}
+				if v, loss := m.victim(now, id, jb.Priority()); v != nil && loss < bestLoss {
+					vb := &v.job.rec.Job
+					if fits(&space{s.cpus + vb.CPUs, s.gpus + vb.GPUs, s.mem + vb.MemoryGB}) {
+						best, bestLoss = id, loss
+					}
+				}
+			}
+			if best == "" {
+				break
+			}
+			v, _ := m.victim(now, best, jb.Priority())
+			s, vb := spaces[best], v.job.rec.Job
+			s.cpus, s.gpus, s.mem = s.cpus+vb.CPUs, s.gpus+vb.GPUs, s.mem+vb.MemoryGB
+			take(s)
+			grace := 0.0
+			if vb.CheckpointS > 0 {
+				grace = vb.SaveS + 1
+			}
+			m.stop(now, v, grace)
+			budget--
+		}
+	}
+}
+
+// victim is the task of lower priority on a machine that loses least when stopped.
+func (m *Manager) victim(now micros.Time, id string, than wire.Priority) (*attempt, micros.Span) {
+	var best *attempt
+	bestLoss := micros.Forever
+	for _, a := range sorted(m.machines[id].attempts) {
+		jb := &a.job.rec.Job
+		if a.stop || jb.Priority() >= than {
+			continue
+		}
+		loss := micros.Span(0)
+		if a.state == wire.TaskRunning {
+			loss = now.Sub(a.runSince)
+			if jb.CheckpointS > 0 {
+				loss = micros.Seconds(jb.SaveS)
+			} else if loss > micros.Seconds(jb.EstimateS).Scale(0.3) {
+				continue // most of its work would be lost
+			}
+		}
+		if loss < bestLoss {
+			best, bestLoss = a, loss
+		}
+	}
+	return best, bestLoss
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,184 @@
+// Package peer carries what the controllers say to one another, over HTTP/2 streams:
+// the leader shows its view of all resources, and the others ask it for leases.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"saffronbend/internal/manager"
+)
+
+// ErrNotLeader says that the controller asked does not lead under that token.
+var ErrNotLeader = errors.New("the controller does not lead")
+
+// Asks carries a controller's lease requests. It is sent regularly, also without any,
+// as a sign of life.
+type Asks struct {
+	Member   string            `json:"member"`
+	Token    uint64            `json:"token"`
+	Requests []manager.Request `json:"requests,omitempty"`
+}
+
+// Answers carries their results. They show in the view from Version on.
+type Answers struct {
+	Version uint64           `json:"version"`
+	Results []manager.Result `json:"results,omitempty"`
+}
+
+// Leader is what a controller offers to the others.
+type Leader interface {
+	// Subscribe gives the views of a term until ctx ends; nil if there is no such term.
+	Subscribe(ctx context.Context, member string, token uint64) <-chan *manager.View
+	// Ask serves lease requests.
+	Ask(ctx context.Context, a Asks) (*Answers, error)
+}
+
+const (
+	pathView = "/peer/view"
+	pathAsk  = "/peer/ask"
+	// Silence on a stream after which it counts as broken.
+	silence = 2 * time.Second
+	maxAsks = 4 << 20
+)
+
+// Serve serves the other controllers until ctx ends.
+func Serve(ctx context.Context, l net.Listener, leader Leader) error {
+	r := httprouter.New()
+	r.GET(pathView, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) { serveView(w, req, leader) })
+	r.POST(pathAsk, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) { serveAsk(w, req, leader) })
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+		BaseContext: func(net.Listener) context.Context { return ctx }, Protocols: protocols(), MaxHeaderBytes: 16 << 10}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("peer: %w", err)
+	}
+	return nil
+}
+
+func protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+func serveView(w http.ResponseWriter, req *http.Request, leader Leader) {
+	token, _ := strconv.ParseUint(req.URL.Query().Get("token"), 10, 64)
+	views := leader.Subscribe(req.Context(), req.URL.Query().Get("member"), token)
+	if views == nil {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	rc := http.NewResponseController(w)
+	enc := json.NewEncoder(w)
+	for v := range views {
+		_ = rc.SetWriteDeadline(time.Now().Add(silence))
+		if enc.Encode(v) != nil || rc.Flush() != nil {
+			return
+		}
+	}
+}
+
+func serveAsk(w http.ResponseWriter, req *http.Request, leader Leader) {
+	var a Asks
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAsks)).Decode(&a); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ans, err := leader.Ask(req.Context(), a)
+	if err != nil {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(ans)
+}
+
+// Client talks to one leader in one term.
+type Client struct {
+	addr, member string
+	token        uint64
+	http         *http.Client
+	tr           *http.Transport
+}
+
+// NewClient makes a client; Close ends its connections.
+func NewClient(addr, member string, token uint64) *Client {
+	d := &net.Dialer{Timeout: time.Second}
+	tr := &http.Transport{DialContext: d.DialContext, Protocols: protocols(), IdleConnTimeout: 10 * time.Second}
+	return &Client{addr: addr, member: member, token: token, tr: tr, http: &http.Client{Transport: tr}}
+}
+
+// Close ends the client's connections.
+func (c *Client) Close() { c.tr.CloseIdleConnections() }
+
+// Views follows the leader's view until the stream breaks or ctx ends.
+func (c *Client) Views(ctx context.Context, each func(*manager.View)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(silence, func() { cancel(errors.New("the stream has fallen silent")) })
+	defer watchdog.Stop()
+	url := fmt.Sprintf("http://%s%s?member=%s&token=%d", c.addr, pathView, c.member, c.token)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return ErrNotLeader
+	}
+	dec := json.NewDecoder(resp.Body)
+	for {
+		v := new(manager.View)
+		if err := dec.Decode(v); err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = cause
+			}
+			return fmt.Errorf("peer: %w", err)
+		}
+		watchdog.Reset(silence)
+		each(v)
+	}
+}
+
+// Ask sends lease requests.
+func (c *Client) Ask(ctx context.Context, requests []manager.Request) (*Answers, error) {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
+	data, err := json.Marshal(Asks{Member: c.member, Token: c.token, Requests: requests})
+	if err != nil {
+		return nil, fmt.Errorf("peer: encode: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addr+pathAsk, bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return nil, ErrNotLeader
+	}
+	var ans Answers
+	if err := json.NewDecoder(resp.Body).Decode(&ans); err != nil {
+		return nil, fmt.Errorf("peer: answer: %w", err)
+	}
+	return &ans, nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,279 @@
+// Package settings reads and checks the platform's settings file (TOML) and the
+// operators' options (protobuf text format).
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/BurntSushi/toml"
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"saffronbend/internal/micros"
+	"saffronbend/internal/settings/optionspb"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Member string `toml:"member"`
+	Zone   string `toml:"location"`
+	Addr   string `toml:"addr"`
+}
+
+// Team has a guarantee and a limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one of the users' aims.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+	WithinS float64 `toml:"within_s"`
+}
+
+// Workers holds the worker protocol's times.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits is what one controller may use.
+type Limits struct {
+	CoreShare      float64 `toml:"core_share"`
+	MemoryMB       float64 `toml:"mem_mb"`
+	MaxConnections int     `toml:"max_connections"`
+}
+
+// Deployment is the shared part of the settings.
+type Deployment struct {
+	Nodes      int         `toml:"nodes"`
+	Zones      []string    `toml:"zones"`
+	SkewMillis float64     `toml:"skew_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Limits     Limits      `toml:"quota"`
+}
+
+// Services are the addresses of what the controllers lean on.
+type Services struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Settings is everything that a controller is told.
+type Settings struct {
+	Member     string     `toml:"member"`
+	Zone       string     `toml:"location"`
+	Listen     string     `toml:"serve_on"`
+	PeerListen string     `toml:"cluster_listen"`
+	Peers      []Peer     `toml:"seeds"`
+	Services   Services   `toml:"services"`
+	Deployment Deployment `toml:"deployment"`
+	Tuning     Tuning     `toml:"-"`
+}
+
+// Tuning is what operators may set, with defaults filled in.
+type Tuning struct {
+	MinLocality  float64
+	Skip         micros.Span
+	History      int
+	Slack        micros.Span
+	FirstLease   micros.Span
+	Grace        micros.Span
+	RoundBudget  micros.Span
+	PreemptAfter micros.Span
+	MaxMachines  int
+	IdleReturn   micros.Span
+	BootPatience float64
+	SilentReturn micros.Span
+	HireAhead    micros.Span
+}
+
+// Load reads the settings and, where a path is given, the options.
+func Load(path, optionsPath string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var options []byte
+	if optionsPath != "" {
+		if options, err = os.ReadFile(optionsPath); err != nil {
+			return nil, fmt.Errorf("options: %w", err)
+		}
+	}
+	return Parse(data, options)
+}
+
+// Parse reads settings and options from memory and checks them.
+func Parse(data, options []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := toml.Unmarshal(data, s); err != nil {
+		var pe toml.ParseError
+		if errors.As(err, &pe) {
+			return nil, fmt.Errorf("settings: line %d: %s", pe.Position.Line, pe.Message)
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var o optionspb.Options
+	if err := prototext.Unmarshal(options, &o); err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	if err := s.tune(&o); err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	if s.Member == "" {
+		return errors.New("member is missing")
+	}
+	addrs := []struct{ name, v string }{
+		{"serve_on", s.Listen}, {"cluster_listen", s.PeerListen},
+		{"services.cloud", s.Services.Cloud}, {"services.state", s.Services.State},
+	}
+	seen := map[string]bool{s.Member: true}
+	for _, p := range s.Peers {
+		if p.Member == "" {
+			return errors.New("a seed has no member name")
+		}
+		if seen[p.Member] {
+			return fmt.Errorf("member %q appears twice", p.Member)
+		}
+		seen[p.Member] = true
+		addrs = append(addrs, struct{ name, v string }{"seeds." + p.Member, p.Addr})
+	}
+	for _, a := range addrs {
+		if _, err := netip.ParseAddrPort(a.v); err != nil {
+			return fmt.Errorf("%s: %q is not an address with a port", a.name, a.v)
+		}
+	}
+	d := &s.Deployment
+	if len(d.Teams) == 0 {
+		return errors.New("deployment.teams is empty")
+	}
+	teams := map[string]bool{}
+	for _, t := range d.Teams {
+		if t.Name == "" || teams[t.Name] {
+			return fmt.Errorf("deployment.teams: name %q is empty or appears twice", t.Name)
+		}
+		teams[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return fmt.Errorf("deployment.teams: %q has a negative amount", t.Name)
+		}
+	}
+	positive := []struct {
+		name string
+		v    float64
+	}{
+		{"workers.report_s", d.Workers.ReportS}, {"workers.lease_s", d.Workers.LeaseS},
+		{"workers.cancel_s", d.Workers.CancelS}, {"state.rps", d.State.RPS},
+		{"state.write_rps", d.State.WriteRPS}, {"state.value_kb", d.State.ValueKB},
+		{"state.txn_ops", float64(d.State.TxnOps)}, {"cloud.rps", d.Cloud.RPS},
+		{"quota.core_share", d.Limits.CoreShare}, {"quota.mem_mb", d.Limits.MemoryMB},
+		{"quota.max_connections", float64(d.Limits.MaxConnections)},
+	}
+	for _, p := range positive {
+		if !(p.v > 0) {
+			return fmt.Errorf("deployment.%s must be above 0", p.name)
+		}
+	}
+	if d.State.TxnOps < 2 {
+		return errors.New("deployment.state.txn_ops must be at least 2")
+	}
+	if d.State.ValueKB < 1 {
+		return errors.New("deployment.state.value_kb must be at least 1")
+	}
+	if d.Cloud.ListLagS < 0 {
+		return errors.New("deployment.cloud.list_lag_s must not be negative")
+	}
+	if d.Workers.LeaseS <= d.Workers.ReportS {
+		return errors.New("deployment.workers.lease_s must be longer than report_s")
+	}
+	if d.Workers.CancelS <= d.Workers.LeaseS {
+		return errors.New("deployment.workers.cancel_s must be longer than lease_s")
+	}
+	return nil
+}
+
+// tune fills in the defaults. Those that the design does not name are derived from
+// the platform's settings.
+func (s *Settings) tune(o *optionspb.Options) error {
+	lease := s.Deployment.Workers.LeaseS
+	var errs []error
+	num := func(p *float64, def, low, high float64, name string) float64 {
+		if p == nil {
+			return def
+		}
+		if !(*p >= low && *p <= high) {
+			errs = append(errs, fmt.Errorf("%s must be between %g and %g", name, low, high))
+		}
+		return *p
+	}
+	count := func(p *uint32, def, high uint32, name string) int {
+		if p == nil {
+			return int(def)
+		}
+		if *p < 1 || *p > high {
+			errs = append(errs, fmt.Errorf("%s must be between 1 and %d", name, high))
+		}
+		return int(*p)
+	}
+	span := func(p *float64, def float64, name string) micros.Span {
+		return micros.Seconds(num(p, def, 0, 86400, name))
+	}
+	s.Tuning = Tuning{
+		MinLocality:  num(o.MinLocality, 0.5, 0, 1, "min_locality"),
+		Skip:         span(o.SkipS, 10, "skip_s"),
+		History:      count(o.History, 10, 1000, "history"),
+		Slack:        span(o.SlackS, 5, "slack_s"),
+		FirstLease:   span(o.FirstLeaseS, 100, "first_lease_s"),
+		Grace:        span(o.GraceS, 20, "grace_s"),
+		RoundBudget:  span(o.RoundBudgetS, 0.02, "round_budget_s"),
+		PreemptAfter: span(o.PreemptAfterS, 1, "preempt_after_s"),
+		MaxMachines:  count(o.MaxMachines, 64, 10000, "max_machines"),
+		IdleReturn:   span(o.IdleReturnS, 30, "idle_return_s"),
+		BootPatience: num(o.BootPatience, 3, 1, 100, "boot_patience"),
+		SilentReturn: span(o.SilentReturnS, 1.5*lease, "silent_return_s"),
+		HireAhead:    span(o.HireAheadS, 10, "hire_ahead_s"),
+	}
+	return errors.Join(errs...)
+}
+
+// Share is the part of a limit that one controller may count on.
+func (s *Settings) Share(limit float64) float64 {
+	return limit / float64(max(1, s.Deployment.Nodes, len(s.Peers)+1))
+}
+
+// Lease is how long a worker lives without an answer.
+func (s *Settings) Lease() micros.Span { return micros.Seconds(s.Deployment.Workers.LeaseS) }
--- /dev/null
+++ b/internal/state/records.go
@@ -0,0 +1,115 @@
+package state
+
+import (
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"saffronbend/wire"
+)
+
+// Keys of the records. A job has a status record for good, an open record until it is
+// over and all its tasks are gone, and one progress record for each chunk of tasks
+// that has been touched. Status and open record always change together, so that
+// they have the same version.
+const (
+	LeaderKey    = "leader"
+	TypesKey     = "types"
+	OpenPrefix   = "open/"
+	statusPrefix = "job/"
+	chunkPrefix  = "tasks/"
+	// ChunkPrefix lists all progress records.
+	ChunkPrefix = chunkPrefix
+)
+
+// StatusKey names a job's status record.
+func StatusKey(id string) string { return statusPrefix + id }
+
+// OpenKey names a job's open record.
+func OpenKey(id string) string { return OpenPrefix + id }
+
+// ChunkKey names the progress record of a chunk of a job's tasks.
+func ChunkKey(id string, chunk int) string { return chunkPrefix + id + "/" + strconv.Itoa(chunk) }
+
+// SplitChunkKey takes the name of a progress record apart.
+func SplitChunkKey(key string) (id string, chunk int, ok bool) {
+	rest, found := strings.CutPrefix(key, chunkPrefix)
+	if !found {
+		return "", 0, false
+	}
+	return wire.SplitTask(rest)
+}
+
+// LeaderRecord says who leads.
+type LeaderRecord struct {
+	Member string `json:"member"`
+	// Run tells apart the processes that have borne the member's name.
+	Run uint64 `json:"run"`
+}
+
+// StatusRecord is what users are told of a job.
+type StatusRecord struct {
+	Status string `json:"status"` // pending, done or cancelled, as on the wire
+}
+
+// OpenRecord describes a job that is not over yet, or whose tasks may still exist.
+type OpenRecord struct {
+	Job      wire.Job `json:"job"`
+	Accepted int64    `json:"accepted"` // time of day, microseconds
+	Chunk    int      `json:"chunk"`    // tasks in a progress record
+	Over     string   `json:"over,omitempty"`
+}
+
+// ChunkRecord is the progress of a chunk of tasks.
+type ChunkRecord struct {
+	Done   string      `json:"d,omitempty"` // bitmap in hexadecimal
+	Active []Placement `json:"a,omitempty"`
+	// Write names the write, so that its unknown outcome can be read back.
+	Write string `json:"w"`
+}
+
+// Placement is an attempt that may exist.
+type Placement struct {
+	Task    int    `json:"t"`
+	Machine string `json:"m"`
+	Attempt uint64 `json:"n"`
+	Session uint64 `json:"s"`
+}
+
+// ChunkSize gives how many tasks' placements surely fit into a value.
+func ChunkSize(valueKB float64) int {
+	const bytesPerTask = 80
+	return min(256, max(4, int(valueKB*1024-200)/bytesPerTask))
+}
+
+// EncodeDone makes a bitmap of done tasks.
+func EncodeDone(n int, done func(i int) bool) string {
+	bits := make([]byte, (n+7)/8)
+	any := false
+	for i := range n {
+		if done(i) {
+			bits[i/8] |= 1 << (i % 8)
+			any = true
+		}
+	}
+	if !any {
+		return ""
+	}
+	return hex.EncodeToString(bits)
+}
+
+// DecodeDone calls f for each done task of a bitmap.
+func DecodeDone(s string, f func(i int)) error {
+	bits, err := hex.DecodeString(s)
+	if err != nil {
+		return err
+	}
+	for i, b := range bits {
+		for k := range 8 {
+			if b&(1<<k) != 0 {
+				f(i*8 + k)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,232 @@
+// Package state is the client of the state service.
+package state
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"saffronbend/wire"
+)
+
+// Errors that callers tell apart. Anything else from Txn or the permit calls has an
+// unknown outcome: the request may have been carried out, or may yet be.
+var (
+	ErrUnavailable = errors.New("the state service does not serve this controller now")
+	ErrNoLease     = errors.New("no such permit")
+	ErrCompacted   = errors.New("the revision is too old to watch from")
+	ErrRefused     = errors.New("the state service refused the request")
+)
+
+// Conflict says which conditions of a transaction failed.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conditions failed: %v", c.Failed) }
+
+// Client talks to the state service within a share of its limits.
+type Client struct {
+	base   string
+	http   *http.Client
+	watch  *http.Client
+	reqs   *rate.Limiter
+	writes *rate.Limiter
+}
+
+// New makes a client. It starts no goroutine of its own.
+func New(addr string, rps, writeRPS float64) *Client {
+	transport := func(conns int) *http.Transport {
+		d := &net.Dialer{Timeout: time.Second}
+		return &http.Transport{DialContext: d.DialContext, MaxConnsPerHost: conns,
+			MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true}
+	}
+	return &Client{
+		base:   "http://" + addr,
+		http:   &http.Client{Transport: transport(16)},
+		watch:  &http.Client{Transport: transport(4)},
+		reqs:   rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		writes: rate.NewLimiter(rate.Limit(writeRPS), max(8, int(writeRPS))),
+	}
+}
+
+// SetWriteShare changes how many changes a second this controller may make.
+func (c *Client) SetWriteShare(writeRPS float64) {
+	c.writes.SetLimit(rate.Limit(writeRPS))
+	c.writes.SetBurst(max(8, int(writeRPS)))
+}
+
+func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, in, out any) (int, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return 0, fmt.Errorf("state: encode: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, fmt.Errorf("state: %w", err)
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("state: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, fmt.Errorf("state: read: %w", err)
+	}
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return resp.StatusCode, ErrUnavailable
+	}
+	if out != nil && (resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusConflict) {
+		if err := json.Unmarshal(data, out); err != nil {
+			return 0, fmt.Errorf("state: answer: %w", err)
+		}
+	}
+	return resp.StatusCode, nil
+}
+
+func (c *Client) do(ctx context.Context, timeout time.Duration, method, path string, in, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := c.reqs.Wait(ctx); err != nil {
+		return 0, ErrUnavailable
+	}
+	return c.call(ctx, c.http, method, path, in, out)
+}
+
+// Get reads a key; nil means that it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (*wire.Item, error) {
+	var it wire.Item
+	code, err := c.do(ctx, 1500*time.Millisecond, http.MethodGet, "/kv/"+key, nil, &it)
+	switch {
+	case err != nil:
+		return nil, err
+	case code == http.StatusNotFound:
+		return nil, nil
+	case code != http.StatusOK:
+		return nil, fmt.Errorf("%w: status %d", ErrRefused, code)
+	}
+	return &it, nil
+}
+
+// List reads all keys with a prefix. The revision is that of the first page, so a
+// watch from there misses nothing.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
+	var items []wire.Item
+	var first uint64
+	from := ""
+	for page := 0; ; page++ {
+		q := url.Values{"prefix": {prefix}, "page": {"1000"}}
+		if from != "" {
+			q.Set("from", from)
+		}
+		var l wire.ItemList
+		code, err := c.do(ctx, 3*time.Second, http.MethodGet, "/kv?"+q.Encode(), nil, &l)
+		if err != nil {
+			return nil, 0, err
+		}
+		if code != http.StatusOK {
+			return nil, 0, fmt.Errorf("%w: status %d", ErrRefused, code)
+		}
+		if page == 0 {
+			first = l.Revision
+		}
+		items = append(items, l.Items...)
+		if !l.More || len(l.Items) == 0 {
+			return items, first, nil
+		}
+		from = l.Items[len(l.Items)-1].Key
+	}
+}
+
+// Txn runs a transaction and returns its revision. A *Conflict means that nothing
+// was changed; ErrUnavailable and ErrRefused likewise.
+func (c *Client) Txn(ctx context.Context, t wire.Txn) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	if n := len(t.Then); n > 0 {
+		if err := c.writes.WaitN(ctx, n); err != nil {
+			return 0, ErrUnavailable
+		}
+	}
+	var r wire.TxnResult
+	code, err := c.do(ctx, 1500*time.Millisecond, http.MethodPost, "/txn", t, &r)
+	switch {
+	case err != nil:
+		return 0, err
+	case code == http.StatusConflict:
+		return 0, &Conflict{Failed: r.Failed}
+	case code == http.StatusBadRequest:
+		for _, ch := range t.Then {
+			if ch.Lease != 0 {
+				return 0, ErrNoLease
+			}
+		}
+		return 0, ErrRefused
+	case code != http.StatusOK:
+		return 0, fmt.Errorf("%w: status %d", ErrRefused, code)
+	}
+	return r.Revision, nil
+}
+
+// Grant obtains a permit.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	var l wire.Lease
+	code, err := c.do(ctx, time.Second, http.MethodPost, "/grants", wire.LeaseAsk{TTLMillis: life.Milliseconds()}, &l)
+	if err != nil {
+		return 0, err
+	}
+	if code != http.StatusOK {
+		return 0, fmt.Errorf("%w: status %d", ErrRefused, code)
+	}
+	return l.ID, nil
+}
+
+// Renew renews a permit.
+func (c *Client) Renew(ctx context.Context, id uint64) error {
+	code, err := c.do(ctx, time.Second, http.MethodPost, "/grants/"+strconv.FormatUint(id, 10)+"/renew", nil, nil)
+	switch {
+	case err != nil:
+		return err
+	case code == http.StatusNotFound:
+		return ErrNoLease
+	case code != http.StatusOK:
+		return fmt.Errorf("%w: status %d", ErrRefused, code)
+	}
+	return nil
+}
+
+// Watch waits for changes of keys with the prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (*wire.WatchResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, block+5*time.Second)
+	defer cancel()
+	if err := c.reqs.Wait(ctx); err != nil {
+		return nil, ErrUnavailable
+	}
+	q := url.Values{"prefix": {prefix}, "from": {strconv.FormatUint(from, 10)},
+		"block_ms": {strconv.FormatInt(block.Milliseconds(), 10)}}
+	var r wire.WatchResult
+	code, err := c.call(ctx, c.watch, http.MethodGet, "/watch?"+q.Encode(), nil, &r)
+	switch {
+	case err != nil:
+		return nil, err
+	case code == http.StatusGone:
+		return nil, ErrCompacted
+	case code != http.StatusOK:
+		return nil, fmt.Errorf("%w: status %d", ErrRefused, code)
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,89 @@
+// Package worker serves the workers' reports and sends them direct orders.
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"saffronbend/wire"
+)
+
+// Reporter takes reports. A nil answer means that the controller is not entitled to
+// give one; leader then names who is, if that is known.
+type Reporter interface {
+	Report(ctx context.Context, r *wire.Report) (answer *wire.ReportAnswer, leader string)
+}
+
+// Register adds the workers' interface to a router.
+func Register(r *httprouter.Router, reporter Reporter) {
+	r.POST(wire.PathReport, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, 1<<20))
+		var rep wire.Report
+		if err != nil || json.Unmarshal(body, &rep) != nil || rep.Machine == "" {
+			http.Error(w, `{"error":"malformed report"}`, http.StatusBadRequest)
+			return
+		}
+		answer, leader := reporter.Report(req.Context(), &rep)
+		w.Header().Set("Content-Type", "application/json")
+		switch {
+		case answer != nil:
+			_ = json.NewEncoder(w).Encode(answer)
+		case leader != "":
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			_ = json.NewEncoder(w).Encode(wire.Redirect{ReportTo: leader})
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(wire.Error{Error: "no leader"})
+		}
+	})
+}
+
+// Client sends direct orders.
+type Client struct{ http *http.Client }
+
+// NewClient makes a client with few connections to each worker.
+func NewClient() *Client {
+	d := &net.Dialer{Timeout: 1500 * time.Millisecond}
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext,
+		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
+}
+
+// Do sends orders. An error means that their outcome is unknown: they may take effect
+// at any time while token and session are the worker's.
+func (c *Client) Do(ctx context.Context, addr string, d wire.Direct) (executed bool, r *wire.Report, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	data, err := json.Marshal(d)
+	if err != nil {
+		return false, nil, fmt.Errorf("worker: encode: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+wire.PathCommands, bytes.NewReader(data))
+	if err != nil {
+		return false, nil, fmt.Errorf("worker: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return false, nil, fmt.Errorf("worker: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return false, nil, fmt.Errorf("worker: read: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return false, nil, fmt.Errorf("worker: status %d", resp.StatusCode)
+	}
+	r = new(wire.Report)
+	if err := json.Unmarshal(body, r); err != nil {
+		return false, nil, fmt.Errorf("worker: answer: %w", err)
+	}
+	return resp.StatusCode == http.StatusOK, r, nil
+}
--- /dev/null
+++ b/node.go
@@ -0,0 +1,243 @@
+// Package saffronbend is a cluster scheduler: controllers that place users' tasks on
+// rented machines, over a small state service and a cloud.
+//
+// A Node is one controller. Each Node serves users and workers; the one that leads
+// also runs the Resource Manager and the fleet, and every Node places the jobs of the
+// teams assigned to it.
+package saffronbend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"saffronbend/internal/api"
+	"saffronbend/internal/cloud"
+	"saffronbend/internal/manager"
+	"saffronbend/internal/micros"
+	"saffronbend/internal/peer"
+	"saffronbend/internal/settings"
+	"saffronbend/internal/state"
+	"saffronbend/internal/worker"
+	"saffronbend/wire"
+)
+
+// Node is one controller.
+type Node struct {
+	set     *settings.Settings
+	log     *slog.Logger
+	clock   micros.Clock
+	run     uint64
+	state   *state.Client
+	cloud   *cloud.Client
+	workers *worker.Client
+
+	types    atomic.Pointer[[]wire.MachineType]
+	role     atomic.Pointer[role]
+	progress atomic.Pointer[map[string]counts]
+	viewed   atomic.Int64 // when a view with a served leader came last
+	stateOK  atomic.Int64 // when the state service last served us
+	placer   *placer
+	wg       sync.WaitGroup
+}
+
+// role is what this controller is at the moment.
+type role struct {
+	term   *term  // while it leads
+	leader string // who leads, if known
+}
+
+type counts struct{ done, running int }
+
+// New makes a controller from checked settings.
+func New(set *settings.Settings, log *slog.Logger) *Node {
+	d := &set.Deployment
+	n := &Node{set: set, log: log.With("member", set.Member), clock: micros.NewClock(), run: rand.Uint64() >> 11,
+		state:   state.New(set.Services.State, set.Share(d.State.RPS), set.Share(d.State.WriteRPS)),
+		cloud:   cloud.New(set.Services.Cloud, set.Share(d.Cloud.RPS)),
+		workers: worker.NewClient()}
+	n.role.Store(&role{})
+	n.placer = newPlacer(n)
+	return n
+}
+
+// Run serves until ctx ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	front, err := net.Listen("tcp", n.set.Listen)
+	if err != nil {
+		return fmt.Errorf("serve_on: %w", err)
+	}
+	back, err := net.Listen("tcp", n.set.PeerListen)
+	if err != nil {
+		_ = front.Close()
+		return fmt.Errorf("cluster_listen: %w", err)
+	}
+	n.log.Info("controller starts", "zone", n.set.Zone, "run", n.run)
+	n.start(func() {
+		if err := peer.Serve(ctx, back, n); err != nil {
+			cancel(err)
+		}
+	})
+	n.start(func() {
+		if err := n.serve(ctx, front); err != nil {
+			cancel(err)
+		}
+	})
+	n.start(func() { n.learnTypes(ctx) })
+	n.start(func() { n.placer.run(ctx) })
+	n.start(func() { newElector(n).run(ctx) })
+	<-ctx.Done()
+	n.wg.Wait()
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (n *Node) start(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+// serve serves users, workers and health checks.
+func (n *Node) serve(ctx context.Context, l net.Listener) error {
+	r := httprouter.New()
+	// Users do not follow redirects.
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	api.New(n.state, n, n.set, n.log, n.clock.Wall).Register(r)
+	worker.Register(r, n)
+	// What the controller opens itself comes out of the same limit.
+	own := 40 + n.set.Deployment.Limits.MaxConnections/8
+	conns := newConns(max(16, n.set.Deployment.Limits.MaxConnections-own))
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second,
+		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: conns.state,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	stop := context.AfterFunc(ctx, func() {
+		grace, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if srv.Shutdown(grace) != nil {
+			_ = srv.Close()
+		}
+	})
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// Types gives the machine types, or nil while they are not known.
+func (n *Node) Types() []wire.MachineType {
+	if t := n.types.Load(); t != nil {
+		return *t
+	}
+	return nil
+}
+
+// Progress gives counts of a job's tasks for display.
+func (n *Node) Progress(id string) (done, running int) {
+	if p := n.progress.Load(); p != nil {
+		c := (*p)[id]
+		return c.done, c.running
+	}
+	return 0, 0
+}
+
+// Healthy tells whether requests can be taken. A short outage of the state service
+// does not count; that only this controller is refused while its leader is served does.
+func (n *Node) Healthy() bool {
+	if n.Types() == nil {
+		return false
+	}
+	now := n.clock.Now()
+	refused := now.Sub(micros.Time(n.stateOK.Load())) > 6*micros.Second
+	leaderServed := now.Sub(micros.Time(n.viewed.Load())) < 2*micros.Second
+	return !refused || !leaderServed || n.role.Load().term != nil
+}
+
+// Report serves a worker's report.
+func (n *Node) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, string) {
+	ro := n.role.Load()
+	if ro.term == nil {
+		return nil, ro.leader
+	}
+	return ro.term.report(ctx, r), ""
+}
+
+// Subscribe gives the views of a term.
+func (n *Node) Subscribe(ctx context.Context, member string, token uint64) <-chan *manager.View {
+	if t := n.role.Load().term; t != nil && t.token == token {
+		return t.subscribe(ctx, member)
+	}
+	return nil
+}
+
+// Ask serves another controller's lease requests.
+func (n *Node) Ask(ctx context.Context, a peer.Asks) (*peer.Answers, error) {
+	if t := n.role.Load().term; t != nil && t.token == a.Token {
+		return t.ask(ctx, a)
+	}
+	return nil, peer.ErrNotLeader
+}
+
+// show takes a view for display and for the health check.
+func (n *Node) show(v *manager.View) {
+	p := make(map[string]counts, len(v.Jobs))
+	for i := range v.Jobs {
+		p[v.Jobs[i].ID] = counts{v.Jobs[i].Done, v.Jobs[i].Running}
+	}
+	n.progress.Store(&p)
+	if v.StateOK {
+		n.viewed.Store(int64(n.clock.Now()))
+	}
+}
+
+// sleep waits, and tells whether it was not cut short.
+func sleep(ctx context.Context, s micros.Span) bool {
+	t := time.NewTimer(s.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// learnTypes finds out the machine types: what the leader has stored serves while the
+// cloud does not answer.
+func (n *Node) learnTypes(ctx context.Context) {
+	for n.Types() == nil {
+		var types []wire.MachineType
+		it, err := n.state.Get(ctx, state.TypesKey)
+		if err == nil && it != nil {
+			err = json.Unmarshal(it.Value, &types)
+		}
+		if err != nil || len(types) == 0 {
+			types, err = n.cloud.Types(ctx)
+		}
+		if err == nil && len(types) > 0 {
+			n.types.CompareAndSwap(nil, &types)
+			return
+		}
+		n.log.Debug("machine types are not known yet", "err", err)
+		if !sleep(ctx, 500*micros.Millisecond) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/term.go
@@ -0,0 +1,581 @@
+package saffronbend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"saffronbend/internal/cloud"
+	"saffronbend/internal/fleet"
+	"saffronbend/internal/manager"
+	"saffronbend/internal/micros"
+	"saffronbend/internal/peer"
+	"saffronbend/internal/state"
+	"saffronbend/wire"
+)
+
+// term is the time that this controller leads under one token. Its goroutine owns the
+// Resource Manager and the fleet; all else reaches them through the inbox.
+type term struct {
+	n       *Node
+	token   uint64
+	depose  func(why string)
+	inbox   chan func(now micros.Time)
+	ready   chan struct{} // closed once the records are loaded
+	done    chan struct{} // closed when the term is over
+	promise atomic.Int64  // until when something new may be promised
+	answer  atomic.Int64  // until when workers may be answered
+
+	mgr    *manager.Manager
+	fleet  *fleet.Fleet
+	subs   map[*subscriber]bool
+	alive  map[string]micros.Time // when each other controller asked last
+	shown  micros.Time
+	assign map[string]string
+}
+
+type subscriber struct {
+	member string
+	views  chan *manager.View
+}
+
+func newTerm(n *Node, token uint64, depose func(string)) *term {
+	return &term{n: n, token: token, depose: depose, inbox: make(chan func(micros.Time), 256), ready: make(chan struct{}),
+		done: make(chan struct{}), subs: map[*subscriber]bool{}, alive: map[string]micros.Time{}}
+}
+
+const (
+	tickEvery = 500 * micros.Millisecond
+	showEvery = 100 * micros.Millisecond
+)
+
+func (t *term) run(ctx context.Context) {
+	n := t.n
+	d := &n.set.Deployment
+	defer close(t.done)
+	defer t.end()
+	// The leader does nearly all the writing and all the renting.
+	n.state.SetWriteShare(d.State.WriteRPS * 0.6)
+	n.cloud.SetShare(d.Cloud.RPS * 0.7)
+	defer n.state.SetWriteShare(n.set.Share(d.State.WriteRPS) / 2)
+	defer n.cloud.SetShare(n.set.Share(d.Cloud.RPS) / 3)
+
+	from, ok := t.load(ctx)
+	if !ok {
+		return
+	}
+	close(t.ready)
+	n.start(func() { t.watchJobs(ctx, from) })
+	n.start(func() { t.watchCloud(ctx) })
+	n.start(func() { t.watchPrices(ctx) })
+	tick := time.NewTicker(tickEvery.Duration())
+	defer tick.Stop()
+	show := time.NewTimer(0)
+	defer show.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-t.inbox:
+			f(n.clock.Now())
+			for more := true; more; {
+				select {
+				case f := <-t.inbox:
+					f(n.clock.Now())
+				default:
+					more = false
+				}
+			}
+		case <-tick.C:
+			t.tick(ctx, n.clock.Now())
+		case <-show.C:
+		}
+		now := n.clock.Now()
+		if t.mgr.Changed() {
+			if now.Sub(t.shown) >= showEvery {
+				t.show(ctx, now)
+			} else {
+				show.Reset((showEvery - now.Sub(t.shown)).Duration())
+			}
+		}
+		t.flush(ctx, now)
+	}
+}
+
+func (t *term) end() {
+	for s := range t.subs {
+		close(s.views)
+	}
+}
+
+// load reads what the state service holds; the watch of jobs goes on from there.
+func (t *term) load(ctx context.Context) (from uint64, ok bool) {
+	n := t.n
+	d := &n.set.Deployment
+	for {
+		open, revision, err := n.state.List(ctx, state.OpenPrefix)
+		var chunks []wire.Item
+		if err == nil {
+			chunks, _, err = n.state.List(ctx, state.ChunkPrefix)
+		}
+		if err == nil {
+			now := n.clock.Now()
+			t.mgr, err = manager.New(now, manager.Config{Token: t.token, Teams: d.Teams, Lease: n.set.Lease(),
+				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS),
+				Tuning: n.set.Tuning, TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB},
+				n.clock.Wall(), open, chunks, json.Unmarshal)
+			if err != nil {
+				n.log.Error("the records can't be used", "err", err)
+				t.depose("the records can't be used")
+				return 0, false
+			}
+			t.fleet = fleet.New(fleet.Config{Token: t.token, Lease: n.set.Lease(), Report: micros.Seconds(d.Workers.ReportS),
+				ListLag: micros.Seconds(d.Cloud.ListLagS), Tuning: n.set.Tuning})
+			if types := n.Types(); types != nil {
+				t.mgr.SetTypes(types)
+				t.fleet.SetTypes(types)
+			}
+			n.log.Info("term begins", "token", t.token, "open_jobs", len(open), "records", len(chunks))
+			return revision, true
+		}
+		n.log.Debug("the records can't be read yet", "err", err)
+		if !sleep(ctx, 100*micros.Millisecond) {
+			return 0, false
+		}
+	}
+}
+
+// post hands something to the term's goroutine.
+func (t *term) post(ctx context.Context, f func(now micros.Time)) bool {
+	select {
+	case t.inbox <- f:
+		return true
+	case <-ctx.Done():
+	case <-t.done:
+	}
+	return false
+}
+
+// call has something done by the term's goroutine and waits for it.
+func (t *term) call(ctx context.Context, f func(now micros.Time)) bool {
+	did := make(chan struct{})
+	if !t.post(ctx, func(now micros.Time) { f(now); close(did) }) {
+		return false
+	}
+	select {
+	case <-did:
+		return true
+	case <-ctx.Done():
+	case <-t.done:
+	}
+	return false
+}
+
+func (t *term) mayPromise(now micros.Time) bool { return int64(now) < t.promise.Load() }
+
+func (t *term) report(ctx context.Context, r *wire.Report) *wire.ReportAnswer {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	select {
+	case <-t.ready:
+	case <-t.done:
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+	answers := make(chan *wire.ReportAnswer, 1)
+	t.post(ctx, func(now micros.Time) {
+		// A leader that can't reach the state service goes on renewing leases for a
+		// bounded time, but launches nothing.
+		if int64(now) >= t.answer.Load() {
+			answers <- nil
+			return
+		}
+		a, deposed := t.mgr.Report(now, r, t.mayPromise(now))
+		if deposed {
+			t.n.start(func() { t.depose("a worker has seen a higher token") })
+		}
+		answers <- a
+	})
+	select {
+	case a := <-answers:
+		return a
+	case <-ctx.Done():
+	case <-t.done:
+	}
+	return nil
+}
+
+func (t *term) subscribe(ctx context.Context, member string) <-chan *manager.View {
+	s := &subscriber{member: member, views: make(chan *manager.View, 1)}
+	select {
+	case <-t.ready:
+	case <-ctx.Done():
+		return nil
+	case <-t.done:
+		return nil
+	}
+	ok := t.call(ctx, func(now micros.Time) {
+		t.subs[s] = true
+		t.alive[member] = now
+		t.n.log.Info("a controller follows", "follower", member)
+		t.reassign(now)
+	})
+	if !ok {
+		return nil
+	}
+	context.AfterFunc(ctx, func() {
+		t.post(context.Background(), func(now micros.Time) {
+			if !t.subs[s] {
+				return
+			}
+			delete(t.subs, s)
+			close(s.views)
+			t.n.log.Info("a controller follows no longer", "follower", member)
+			t.reassign(now)
+		})
+	})
+	return s.views
+}
+
+// reassign spreads the teams over the controllers that follow and show signs of life.
+func (t *term) reassign(now micros.Time) {
+	members := []string{t.n.set.Member}
+	for s := range t.subs {
+		if now.Sub(t.alive[s.member]) < 1500*micros.Millisecond && !slices.Contains(members, s.member) {
+			members = append(members, s.member)
+		}
+	}
+	slices.Sort(members)
+	var teams []string
+	for _, tm := range t.n.set.Deployment.Teams {
+		teams = append(teams, tm.Name)
+	}
+	t.assign = manager.Assign(t.assign, teams, members)
+	t.mgr.SetAssign(t.assign)
+}
+
+func (t *term) ask(ctx context.Context, a peer.Asks) (*peer.Answers, error) {
+	var ans *peer.Answers
+	ok := t.call(ctx, func(now micros.Time) {
+		t.alive[a.Member] = now
+		ans = &peer.Answers{}
+		for _, r := range a.Requests {
+			res := manager.Result{Granted: make([]int, len(r.Asks))}
+			if t.mayPromise(now) {
+				res = t.mgr.Grant(now, r)
+			}
+			ans.Results = append(ans.Results, res)
+		}
+		ans.Version = t.mgr.NextVersion()
+	})
+	if !ok || ans == nil {
+		return nil, peer.ErrNotLeader
+	}
+	return ans, nil
+}
+
+func (t *term) tick(ctx context.Context, now micros.Time) {
+	n := t.n
+	t.mgr.Tick(now)
+	t.reassign(now)
+	t.mgr.SetStateOK(t.mayPromise(now))
+	if t.mayPromise(now) {
+		t.mgr.Preempt(now)
+	}
+	if t.mgr.Exhausted() {
+		n.start(func() { t.depose("the term has no attempt numbers left") })
+	}
+	if types := n.Types(); types != nil && len(t.mgr.Types()) == 0 {
+		t.mgr.SetTypes(types)
+		t.fleet.SetTypes(types)
+	}
+}
+
+// show builds a view and hands it to everybody, the fleet included.
+func (t *term) show(ctx context.Context, now micros.Time) {
+	t.shown = now
+	v := t.mgr.View(now)
+	t.n.show(v)
+	for s := range t.subs {
+		w := v
+		for sent := false; !sent; {
+			select {
+			case s.views <- w:
+				sent = true
+			case old := <-s.views:
+				w = newer(old, w)
+			}
+		}
+	}
+	if t.mayPromise(now) {
+		t.manage(ctx, now, v)
+	}
+	t.n.placer.offer(v, func(ctx context.Context, r []manager.Request) (*peer.Answers, error) {
+		return t.ask(ctx, peer.Asks{Member: t.n.set.Member, Token: t.token, Requests: r})
+	})
+}
+
+// flush carries out what the manager wants done by now.
+func (t *term) flush(ctx context.Context, now micros.Time) {
+	n := t.n
+	for _, note := range t.mgr.Notes() {
+		n.log.Info(note.Text, note.Args...)
+	}
+	if w := t.mgr.NextWrite(); w != nil {
+		n.start(func() { t.write(ctx, w) })
+	}
+	if int64(now) >= t.answer.Load() {
+		return
+	}
+	for _, d := range t.mgr.Directs(now, t.mayPromise(now)) {
+		n.start(func() {
+			executed, r, err := n.workers.Do(ctx, d.Addr, d.Body)
+			if err != nil {
+				n.log.Debug("direct order without an answer", "machine", d.Machine, "err", err)
+			}
+			t.post(ctx, func(now micros.Time) {
+				if t.mgr.DirectDone(now, d, executed, r) {
+					n.start(func() { t.depose("a worker has seen a higher token") })
+				}
+			})
+		})
+	}
+}
+
+// write carries out one transaction under the leader's key, until its outcome is
+// known. Writes follow one another, so at most one has an unknown outcome.
+func (t *term) write(ctx context.Context, w *manager.Write) {
+	n := t.n
+	txn := wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: t.token}}}
+	for _, c := range w.Changes {
+		txn.If = append(txn.If, wire.Cond{Key: c.Key, Version: c.Version})
+		if c.Value == nil {
+			txn.Then = append(txn.Then, wire.Change{Delete: c.Key})
+			continue
+		}
+		value, err := json.Marshal(c.Value)
+		if err != nil {
+			n.log.Error("a record can't be encoded", "key", c.Key, "err", err)
+			t.depose("a record can't be encoded")
+			return
+		}
+		txn.Then = append(txn.Then, wire.Change{Put: c.Key, Value: value})
+	}
+	for wait := 20 * micros.Millisecond; ; wait = min(2*wait, 500*micros.Millisecond) {
+		revision, err := n.state.Txn(ctx, txn)
+		var conflict *state.Conflict
+		switch {
+		case err == nil:
+			n.served()
+			t.post(ctx, func(now micros.Time) { t.mgr.Written(now, w.ID, revision) })
+			return
+		case errors.As(err, &conflict):
+			if slices.Contains(conflict.Failed, state.LeaderKey) {
+				t.depose("the leader's key has changed")
+				return
+			}
+			if t.resolve(ctx, w) {
+				return
+			}
+		case errors.Is(err, state.ErrRefused):
+			n.log.Error("the state service refuses a write", "err", err)
+			t.depose("the state service refuses a write")
+			return
+		}
+		n.log.Debug("a write has to be repeated", "err", err)
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// resolve finds out why a write's conditions failed though we lead: an earlier try of
+// it came through, or a user has cancelled a job that it was to complete.
+func (t *term) resolve(ctx context.Context, w *manager.Write) bool {
+	n := t.n
+	for _, c := range w.Changes {
+		it, err := n.state.Get(ctx, c.Key)
+		if err != nil {
+			return false
+		}
+		version := uint64(0)
+		if it != nil {
+			version = it.Version
+		}
+		if version == c.Version {
+			continue
+		}
+		var done state.StatusRecord
+		var chunk state.ChunkRecord
+		switch {
+		case c.Mark != "" && it != nil && json.Unmarshal(it.Value, &chunk) == nil && chunk.Write == c.Mark,
+			c.Value == nil && it == nil,
+			c.Value == any(state.StatusRecord{Status: wire.JobDone}) && it != nil &&
+				json.Unmarshal(it.Value, &done) == nil && done.Status == wire.JobDone:
+			if it == nil {
+				// A deletion leaves no version behind; any later one will do.
+				version = c.Version + 1
+			}
+			t.post(ctx, func(now micros.Time) { t.mgr.Written(now, w.ID, version) })
+			return true
+		case c.Mark == "" && it != nil:
+			t.post(ctx, func(now micros.Time) { t.mgr.WriteConflict(now, w.ID) })
+			return true
+		}
+		t.depose("a record of ours has been changed by another")
+		return true
+	}
+	return false
+}
+
+// watchJobs follows the open records.
+func (t *term) watchJobs(ctx context.Context, from uint64) {
+	n := t.n
+	const block = 4 * time.Second
+	for ctx.Err() == nil {
+		r, err := n.state.Watch(ctx, state.OpenPrefix, from, block)
+		if errors.Is(err, state.ErrCompacted) {
+			var items []wire.Item
+			if items, from, err = n.state.List(ctx, state.OpenPrefix); err == nil {
+				for _, it := range items {
+					t.openChanged(ctx, it.Value, it.Version)
+				}
+				continue
+			}
+		}
+		if err != nil {
+			if !sleep(ctx, 100*micros.Millisecond) {
+				return
+			}
+			continue
+		}
+		n.served()
+		from = r.Revision
+		for _, ev := range r.Events {
+			if ev.Delete != "" {
+				id := ev.Delete[len(state.OpenPrefix):]
+				t.post(ctx, func(micros.Time) { t.mgr.JobRemoved(id) })
+				continue
+			}
+			t.openChanged(ctx, ev.Value, ev.Version)
+		}
+	}
+}
+
+func (t *term) openChanged(ctx context.Context, value json.RawMessage, version uint64) {
+	var rec state.OpenRecord
+	if err := json.Unmarshal(value, &rec); err != nil {
+		t.n.log.Error("an open record can't be read", "err", err)
+		return
+	}
+	t.post(ctx, func(now micros.Time) { t.mgr.JobChanged(now, t.n.clock.Wall(), rec, version) })
+}
+
+// watchCloud reads the machine list again and again.
+func (t *term) watchCloud(ctx context.Context) {
+	every := max(2*micros.Second, micros.Seconds(t.n.set.Deployment.Cloud.ListLagS))
+	for {
+		list, err := t.n.cloud.List(ctx)
+		if err == nil {
+			t.post(ctx, func(now micros.Time) { t.mgr.Listed(now, list) })
+		} else {
+			t.n.log.Debug("the cloud's list can't be read", "err", err)
+		}
+		if !sleep(ctx, every) {
+			return
+		}
+	}
+}
+
+// watchPrices reads types and prices, and stores the types for controllers that start
+// while the cloud does not answer.
+func (t *term) watchPrices(ctx context.Context) {
+	n := t.n
+	stored := false
+	for {
+		types, err := n.cloud.Types(ctx)
+		if err == nil && len(types) > 0 {
+			n.types.Store(&types)
+			t.post(ctx, func(micros.Time) {
+				t.mgr.SetTypes(types)
+				t.fleet.SetTypes(types)
+			})
+			if !stored {
+				stored = t.storeTypes(ctx, types)
+			}
+		}
+		every := 30 * micros.Second
+		if err != nil {
+			every = 2 * micros.Second
+		}
+		if !sleep(ctx, every) {
+			return
+		}
+	}
+}
+
+func (t *term) storeTypes(ctx context.Context, types []wire.MachineType) bool {
+	value, err := json.Marshal(types)
+	if err != nil || float64(len(value)) > t.n.set.Deployment.State.ValueKB*1024 {
+		return true // too many to store: the cloud has to be asked
+	}
+	_, err = t.n.state.Txn(ctx, wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: t.token}},
+		Then: []wire.Change{{Put: state.TypesKey, Value: value}}})
+	return err == nil
+}
+
+// manage has the fleet decide, and carries out what it wants.
+func (t *term) manage(ctx context.Context, now micros.Time, v *manager.View) {
+	n := t.n
+	acts := t.fleet.Handle(now, v)
+	for _, note := range acts.Notes {
+		n.log.Info("returning a machine", "machine", note.Machine, "why", note.Why)
+	}
+	for _, id := range acts.Drain {
+		t.mgr.Drain(id)
+	}
+	for _, h := range acts.Hires {
+		n.log.Info("renting machines", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count)
+		n.start(func() { t.hire(ctx, h) })
+	}
+	for ids := range slices.Chunk(acts.Return, 100) {
+		t.mgr.Deleting(ids)
+		n.start(func() { t.remove(ctx, ids) })
+	}
+}
+
+// hire repeats a request until its outcome is known; a request is never reused for
+// anything else.
+func (t *term) hire(ctx context.Context, h wire.Hire) {
+	for {
+		names, err := t.n.cloud.Hire(ctx, h)
+		if err == nil || errors.Is(err, cloud.ErrNoCapacity) {
+			t.n.log.Debug("hire answered", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "wanted", h.Count, "got", len(names))
+			t.post(ctx, func(now micros.Time) {
+				t.mgr.Hired(now, h, names)
+				t.fleet.Hired(now, h, len(names))
+			})
+			return
+		}
+		if !sleep(ctx, micros.Second) {
+			return
+		}
+	}
+}
+
+// remove repeats a deletion until it has been carried out.
+func (t *term) remove(ctx context.Context, ids []string) {
+	for {
+		if err := t.n.cloud.Delete(ctx, ids); err == nil {
+			t.post(ctx, func(now micros.Time) { t.mgr.Deleted(now, ids) })
+			return
+		}
+		if !sleep(ctx, micros.Second) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,271 @@
+// Package wire holds the formats that saffronbend speaks with users, workers, the
+// cloud and the state service. It is the only place that knows how the protocol
+// spells things; clients may use it too.
+package wire
+
+import "encoding/json"
+
+// MaxBody is the largest request body, in bytes.
+const MaxBody = 64 << 10
+
+// Paths of the service's own interface.
+const (
+	PathJobs     = "/v1/jobs"
+	PathHealth   = "/healthz"
+	PathReport   = "/hello"
+	PathCommands = "/do"
+	WordWithdraw = "withdraw"
+)
+
+// Job states as users see them.
+const (
+	JobPending   = "pending"
+	JobRunning   = "running"
+	JobDone      = "done"
+	JobCancelled = "aborted"
+)
+
+// Task states as workers report them.
+const (
+	TaskFetching = "fetching"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskExited   = "ended"
+)
+
+// Reasons why a task exited.
+const (
+	WhyDone    = "done"
+	WhyStopped = "halted"
+	WhyError   = "error"
+	WhyNoRoom  = "no_room"
+	WhyBusy    = "in_use"
+	WhyUnknown = "unknown"
+)
+
+// Commands to workers.
+const (
+	OpStart  = "launch"
+	OpStop   = "stop"
+	OpForget = "clear"
+)
+
+// Machine states as the cloud lists them.
+const (
+	MachineStarting = "starting"
+	MachineRunning  = "running"
+	MachineFailed   = "failed"
+)
+
+// KindArray is the only shape of job there is: independent tasks.
+const KindArray = "batch"
+
+// Priority is a job's urgency, larger is more urgent.
+type Priority int
+
+// Priorities by their names on the wire.
+var priorities = map[string]Priority{"idle": 0, "normal": 1, "high": 2, "critical": 3}
+
+// Job is a submission.
+type Job struct {
+	ID          string   `json:"id"`
+	Class       string   `json:"lane"`
+	Team        string   `json:"owner"`
+	Kind        string   `json:"shape"`
+	Urgency     string   `json:"urgency"`
+	Tasks       int      `json:"pieces"`
+	CPUs        float64  `json:"cores"`
+	GPUs        float64  `json:"cards"`
+	MemoryGB    float64  `json:"memory_gb"`
+	Image       string   `json:"bundle"`
+	ImageGB     float64  `json:"size_gb"`
+	Types       []string `json:"builds"`
+	Zone        *string  `json:"yard"`
+	OneZone     bool     `json:"together"`
+	Spread      bool     `json:"scatter"`
+	Spot        bool     `json:"loaners"`
+	EstimateS   float64  `json:"guess_s"`
+	CheckpointS float64  `json:"snapshot_s"`
+	SaveS       float64  `json:"stash_s"`
+	DeadlineS   *float64 `json:"due_s"`
+}
+
+// Priority gives the job's urgency as a number.
+func (j *Job) Priority() Priority { return priorities[j.Urgency] }
+
+// JobStatus answers users.
+type JobStatus struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+// Error is the body of an answer that refuses something.
+type Error struct {
+	Error string `json:"error"`
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	Machine string       `json:"box"`
+	Addr    string       `json:"address"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"yard"`
+	Spot    bool         `json:"loaners"`
+	Session uint64       `json:"shift"`
+	Seq     uint64       `json:"tick"`
+	Token   uint64       `json:"baton"`
+	NoticeS *float64     `json:"recall_s"`
+	Tasks   []TaskReport `json:"pieces"`
+}
+
+// TaskReport is a task as its worker sees it.
+type TaskReport struct {
+	Task    string `json:"piece"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"status"`
+	Why     string `json:"cause,omitempty"`
+	Saved   bool   `json:"saved,omitempty"`
+}
+
+// Command is an order to a worker.
+type Command struct {
+	Op      string   `json:"verb"`
+	Task    string   `json:"piece"`
+	Attempt uint64   `json:"try"`
+	GraceS  *float64 `json:"wind_down_s,omitempty"`
+}
+
+// ReportAnswer answers a report.
+type ReportAnswer struct {
+	Token    uint64    `json:"baton"`
+	Commands []Command `json:"orders"`
+}
+
+// Redirect sends a worker to another controller.
+type Redirect struct {
+	ReportTo string `json:"foreman,omitempty"`
+}
+
+// Direct is a request to a worker's own address.
+type Direct struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"shift"`
+	Commands []Command `json:"orders"`
+}
+
+// MachineType is a kind of machine that the cloud rents.
+type MachineType struct {
+	Name      string   `json:"name"`
+	CPUs      float64  `json:"cores"`
+	GPUs      float64  `json:"cards"`
+	MemoryGB  float64  `json:"memory_gb"`
+	CacheGB   float64  `json:"local_gb"`
+	FetchGBPS float64  `json:"pull_gb_per_s"`
+	Price     float64  `json:"price"`
+	SpotPrice float64  `json:"spot_price"`
+	BootS     float64  `json:"ready_s"`
+	Zones     []string `json:"yards"`
+}
+
+// MachineTypes is the cloud's list of them.
+type MachineTypes struct {
+	Types []MachineType `json:"builds"`
+}
+
+// Hire asks the cloud for machines.
+type Hire struct {
+	Request string `json:"hire"`
+	Type    string `json:"build"`
+	Zone    string `json:"yard"`
+	Spot    bool   `json:"loaners"`
+	Count   int    `json:"number"`
+}
+
+// Names lists machines: the answer to a hire and the request of a deletion.
+type Names struct {
+	Machines []string `json:"boxes"`
+}
+
+// Machine is a machine as the cloud lists it.
+type Machine struct {
+	ID    string  `json:"id"`
+	Addr  string  `json:"address"`
+	Type  string  `json:"build"`
+	Zone  string  `json:"yard"`
+	Spot  bool    `json:"loaners"`
+	State string  `json:"status"`
+	AgeS  float64 `json:"held_s"`
+}
+
+// MachineList is a page of the cloud's list.
+type MachineList struct {
+	Machines []Machine `json:"boxes"`
+	More     bool      `json:"truncated"`
+}
+
+// Item is a key of the state service.
+type Item struct {
+	Key     string          `json:"k"`
+	Value   json.RawMessage `json:"value"`
+	Version uint64          `json:"stamp"`
+	Lease   uint64          `json:"permit,omitempty"`
+}
+
+// ItemList is a page of keys.
+type ItemList struct {
+	Items    []Item `json:"entries"`
+	More     bool   `json:"truncated"`
+	Revision uint64 `json:"ledger"`
+}
+
+// Cond demands that a key has a version; 0: that it does not exist.
+type Cond struct {
+	Key     string `json:"k"`
+	Version uint64 `json:"stamp"`
+}
+
+// Change puts or deletes a key.
+type Change struct {
+	Put    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Lease  uint64          `json:"permit,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+}
+
+// Txn is a conditional transaction.
+type Txn struct {
+	If   []Cond   `json:"when"`
+	Then []Change `json:"then,omitempty"`
+}
+
+// TxnResult answers a transaction.
+type TxnResult struct {
+	Revision uint64   `json:"ledger"`
+	Failed   []string `json:"failed,omitempty"`
+}
+
+// LeaseAsk asks for a permit.
+type LeaseAsk struct {
+	TTLMillis int64 `json:"life_ms"`
+}
+
+// Lease is a permit.
+type Lease struct {
+	ID uint64 `json:"permit"`
+}
+
+// Event is a change seen by a watch.
+type Event struct {
+	Put     string          `json:"set,omitempty"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Delete  string          `json:"delete,omitempty"`
+	Version uint64          `json:"stamp"`
+}
+
+// WatchResult answers a watch.
+type WatchResult struct {
+	Revision uint64  `json:"ledger"`
+	Events   []Event `json:"log"`
+}
