--- /dev/null
+++ b/test.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Checks the whole tree: formatting, vet, the tests with the race detector, and the
+# build that deploy/service.toml names.
+set -euo pipefail
+cd "$(dirname "$0")"
+unformatted=$(gofmt -l cmd internal wire ./*.go)
+if [ -n "$unformatted" ]; then
+  echo "not formatted: $unformatted" >&2
+  exit 1
+fi
+go vet ./...
+go test -race -count=1 -timeout 15m ./...
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)
+sh -c "$build"
+target/saffronbend --version
