--- a/cmd/saffronbend/main.go
+++ b/cmd/saffronbend/main.go
@@ -72,7 +72,7 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return saffronbend.New(set, log).Run(ctx)
+	return saffronbend.New(set, saffronbend.NewTCP(), log).Run(ctx)
 }
 
 func (checkCmd) Run(c *cli) error {
--- a/follow.go
+++ b/follow.go
@@ -26,7 +26,7 @@
 		n.log.Error("the leader is not among the seeds", "leader", leader)
 		return
 	}
-	c := peer.NewClient(addr, n.set.Member, token)
+	c := peer.NewClient(n.net.Dial, addr, n.set.Member, token)
 	defer c.Close()
 	served, refusals := false, 0
 	for ctx.Err() == nil {
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -31,10 +31,12 @@
 	lim  *rate.Limiter
 }
 
+// Dialer opens connections.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // New makes a client.
-func New(addr string, rps float64) *Client {
-	d := &net.Dialer{Timeout: 2 * time.Second}
-	tr := &http.Transport{DialContext: d.DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4,
+func New(dial Dialer, addr string, rps float64) *Client {
+	tr := &http.Transport{DialContext: dial, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4,
 		IdleConnTimeout: time.Minute, DisableCompression: true}
 	return &Client{base: "http://" + addr, http: &http.Client{Transport: tr},
 		lim: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -112,10 +112,12 @@
 	tr           *http.Transport
 }
 
+// Dialer opens connections.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewClient makes a client; Close ends its connections.
-func NewClient(addr, member string, token uint64) *Client {
-	d := &net.Dialer{Timeout: time.Second}
-	tr := &http.Transport{DialContext: d.DialContext, Protocols: protocols(), IdleConnTimeout: 10 * time.Second}
+func NewClient(dial Dialer, addr, member string, token uint64) *Client {
+	tr := &http.Transport{DialContext: dial, Protocols: protocols(), IdleConnTimeout: 10 * time.Second}
 	return &Client{addr: addr, member: member, token: token, tr: tr, http: &http.Client{Transport: tr}}
 }
 
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,307 @@
+// Package scenario plays scenarios: small text files that say what machines there are,
+// what users do and what goes wrong, and what must come of it. Whole controllers run
+// against the stand-ins on a virtual clock; a referee watches the protocol's rules
+// throughout.
+//
+// A scenario is a txtar archive with the sections `world`, `steps` and, if need be,
+// `options`. testdata/README.md lists the words that they may use.
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/tools/txtar"
+
+	"saffronbend"
+	"saffronbend/internal/settings"
+	"saffronbend/internal/standin"
+	"saffronbend/internal/state"
+	"saffronbend/wire"
+)
+
+const (
+	stateIP, cloudIP, usersIP = "10.2.0.1", "10.2.0.2", "10.3.0.1"
+	cancelS                   = 30
+	leaseS                    = 10
+	reportS                   = 2
+	listLagS                  = 3
+)
+
+// Scenario is a parsed file.
+type Scenario struct {
+	world, steps []string
+	options      []byte
+}
+
+// Parse reads a scenario.
+func Parse(data []byte) (*Scenario, error) {
+	s := new(Scenario)
+	for _, f := range txtar.Parse(data).Files {
+		switch f.Name {
+		case "world":
+			s.world = lines(f.Data)
+		case "steps":
+			s.steps = lines(f.Data)
+		case "options":
+			s.options = f.Data
+		default:
+			return nil, fmt.Errorf("unknown section %q", f.Name)
+		}
+	}
+	if len(s.steps) == 0 {
+		return nil, fmt.Errorf("no steps")
+	}
+	return s, nil
+}
+
+func lines(data []byte) []string {
+	var out []string
+	for _, l := range strings.Split(string(data), "\n") {
+		if l, _, _ = strings.Cut(l, "#"); strings.TrimSpace(l) != "" {
+			out = append(out, strings.TrimSpace(l))
+		}
+	}
+	return out
+}
+
+// world is the state of a play.
+type world struct {
+	ctx     context.Context
+	log     *slog.Logger
+	net     *standin.Network
+	state   *standin.State
+	cloud   *standin.Cloud
+	referee *standin.Referee
+	users   *http.Client
+	types   []wire.MachineType
+	teams   []settings.Team
+	byName  map[string]*wire.MachineType
+	later   []func()
+	options []byte
+	nodes   map[string]*node
+	members []string
+	workers standin.WorkerConfig
+}
+
+type node struct {
+	ip     string
+	host   *standin.Host
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Play plays the scenario; it must be called inside a synctest bubble. The log of the
+// controllers goes to w.
+func (s *Scenario) Play(ctx context.Context, logs io.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &world{ctx: ctx, net: standin.NewNetwork(), state: standin.NewState(), byName: map[string]*wire.MachineType{},
+		referee: standin.NewReferee(cancelS * time.Second), nodes: map[string]*node{}, options: s.options,
+		log: slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug}))}
+	defer w.end(cancel)
+	for _, l := range s.world {
+		if err := w.set(strings.Fields(l)); err != nil {
+			return fmt.Errorf("world: %q: %w", l, err)
+		}
+	}
+	if err := w.build(); err != nil {
+		return err
+	}
+	for _, l := range s.steps {
+		w.log.Info("step", "step", l)
+		if err := w.step(l); err != nil {
+			return fmt.Errorf("step %q: %w", l, err)
+		}
+	}
+	if b := w.referee.Broken(); len(b) > 0 {
+		return fmt.Errorf("rules broken: %s", strings.Join(b, "; "))
+	}
+	return nil
+}
+
+func (w *world) end(cancel context.CancelFunc) {
+	for _, m := range w.members {
+		w.crash(m)
+	}
+	if w.users != nil {
+		w.users.CloseIdleConnections()
+	}
+	cancel()
+}
+
+// set takes a line of the world.
+func (w *world) set(f []string) error {
+	switch f[0] {
+	case "team": // NAME [LIMIT]
+		t := settings.Team{Name: f[1]}
+		if len(f) > 2 {
+			t.CPUsMax = number(f[2])
+			w.referee.Limit(t.Name, t.CPUsMax)
+		}
+		w.teams = append(w.teams, t)
+	case "type": // NAME CPUS MEMORY BOOT_S ZONE...
+		w.types = append(w.types, wire.MachineType{Name: f[1], CPUs: number(f[2]), MemoryGB: number(f[3]), BootS: number(f[4]),
+			CacheGB: 50, FetchGBPS: 0.5, Price: number(f[2]) / 16, SpotPrice: number(f[2]) / 48, Zones: f[5:]})
+	case "capacity": // TYPE ZONE ordinary|spot N
+		w.later = append(w.later, func() { w.cloud.Capacity(f[1], f[2], f[3] == "spot", int(number(f[4]))) })
+	case "machine": // TYPE ZONE [spot]
+		w.later = append(w.later, func() { w.cloud.Add(f[1], f[2], len(f) > 3 && f[3] == "spot") })
+	default:
+		return fmt.Errorf("unknown word")
+	}
+	return nil
+}
+
+func number(s string) float64 {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		panic(fmt.Sprintf("%q is not a number", s))
+	}
+	return v
+}
+
+func (w *world) build() error {
+	zones := map[string]bool{}
+	for _, t := range w.types {
+		w.byName[t.Name] = &t
+		w.referee.Type(t)
+		for _, z := range t.Zones {
+			zones[z] = true
+		}
+	}
+	for i := range 3 {
+		name := fmt.Sprintf("c%d", i)
+		w.members = append(w.members, name)
+		w.nodes[name] = &node{ip: fmt.Sprintf("10.0.0.%d", i+1)}
+		w.workers.Nodes = append(w.workers.Nodes, standin.Address{Member: name, Addr: w.nodes[name].ip + ":8080"})
+	}
+	w.workers.Report, w.workers.Lease = reportS*time.Second, leaseS*time.Second
+	w.workers.Types, w.workers.Referee = w.byName, w.referee
+	w.cloud = standin.NewCloud(w.types, listLagS*time.Second, func(id, ip, typ, zone string, spot bool) *standin.Worker {
+		return standin.NewWorker(w.ctx, w.net, w.workers, id, ip, typ, zone, spot)
+	})
+	if err := w.serve(stateIP, "2379", w.state); err != nil {
+		return err
+	}
+	if err := w.serve(cloudIP, "8443", w.cloud); err != nil {
+		return err
+	}
+	w.users = &http.Client{Transport: &http.Transport{DialContext: w.net.Host(usersIP).Dial, DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	for _, f := range w.later {
+		f()
+	}
+	for _, m := range w.members {
+		if err := w.start(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) serve(ip, port string, h http.Handler) error {
+	l, err := w.net.Host(ip).Listen(ip + ":" + port)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ErrorLog: slog.NewLogLogger(w.log.Handler(), slog.LevelDebug)}
+	go func() { _ = srv.Serve(l) }()
+	context.AfterFunc(w.ctx, func() { _ = srv.Close() })
+	return nil
+}
+
+// start starts a controller on a fresh host.
+func (w *world) start(member string) error {
+	n := w.nodes[member]
+	set, err := settings.Parse([]byte(w.settings(member)), w.options)
+	if err != nil {
+		return err
+	}
+	n.host = w.net.Host(n.ip)
+	ctx, cancel := context.WithCancel(w.ctx)
+	n.cancel, n.done = cancel, make(chan error, 1)
+	done, host := n.done, n.host
+	go func() { done <- saffronbend.New(set, host, w.log).Run(ctx) }()
+	return nil
+}
+
+// crash ends a controller: its host falls dead first, so that nothing it does in
+// ending reaches anybody.
+func (w *world) crash(member string) {
+	n := w.nodes[member]
+	if n == nil || n.cancel == nil {
+		return
+	}
+	n.host.Kill()
+	n.cancel()
+	<-n.done
+	n.cancel = nil
+}
+
+func (w *world) settings(member string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "member = %q\nlocation = \"a\"\nserve_on = \"%s:8080\"\ncluster_listen = \"%s:8081\"\n", member, w.nodes[member].ip, w.nodes[member].ip)
+	for _, m := range w.members {
+		if m != member {
+			fmt.Fprintf(&b, "[[seeds]]\nmember = %q\nlocation = \"a\"\naddr = \"%s:8081\"\n", m, w.nodes[m].ip)
+		}
+	}
+	fmt.Fprintf(&b, "[services]\ncloud = \"%s:8443\"\nstate = \"%s:2379\"\n[deployment]\nnodes = 3\nskew_ms = 50.0\n", cloudIP, stateIP)
+	for _, t := range w.teams {
+		fmt.Fprintf(&b, "[[deployment.teams]]\nname = %q\ncpus_max = %f\n", t.Name, t.CPUsMax)
+	}
+	fmt.Fprintf(&b, "[deployment.workers]\nreport_s = %d\nlease_s = %d\ncancel_s = %d\n", reportS, leaseS, cancelS)
+	b.WriteString("[deployment.state]\nrps = 200.0\nwrite_rps = 60.0\nvalue_kb = 4.0\ntxn_ops = 8\n")
+	fmt.Fprintf(&b, "[deployment.cloud]\nrps = 10.0\nlist_lag_s = %d.0\n", listLagS)
+	b.WriteString("[deployment.quota]\ncore_share = 1.0\nmem_mb = 4000.0\nmax_connections = 500\n")
+	return b.String()
+}
+
+// leader gives the member that holds the leader's key.
+func (w *world) leader() string {
+	it, ok := w.state.Item(state.LeaderKey)
+	var rec state.LeaderRecord
+	if !ok || json.Unmarshal(it.Value, &rec) != nil {
+		return ""
+	}
+	return rec.Member
+}
+
+// ask sends a user's request to a controller.
+func (w *world) ask(method, member, path string, body any) (code int, st wire.JobStatus, err error) {
+	var r io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return 0, st, err
+		}
+		r = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(w.ctx, method, "http://"+w.nodes[member].ip+":8080"+path, r)
+	if err != nil {
+		return 0, st, err
+	}
+	resp, err := w.users.Do(req)
+	if err != nil {
+		return 0, st, nil // no answer: code 0
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+		return 0, st, fmt.Errorf("503 does not say when to come back")
+	}
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, st, nil
+	}
+	if resp.StatusCode < 300 {
+		err = json.Unmarshal(data, &st)
+	}
+	return resp.StatusCode, st, err
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,39 @@
+package scenario
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+)
+
+// TestScenarios plays every file of testdata. -v shows the controllers' logs.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txtar"), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, err := Parse(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var logs bytes.Buffer
+			synctest.Test(t, func(t *testing.T) {
+				if err := s.Play(t.Context(), &logs); err != nil {
+					t.Error(err)
+				}
+			})
+			if t.Failed() || testing.Verbose() {
+				t.Log(logs.String())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scenario/steps.go
@@ -0,0 +1,346 @@
+package scenario
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"saffronbend/internal/standin"
+	"saffronbend/wire"
+)
+
+// step carries out one line of the steps.
+func (w *world) step(line string) error {
+	line, want, _ := strings.Cut(line, "=>")
+	f := strings.Fields(line)
+	want = strings.TrimSpace(want)
+	switch f[0] {
+	case "submit": // ID [key=value...] [at MEMBER] => CODE
+		return w.submit(f[1:], want)
+	case "poll": // ID [at MEMBER] => CODE or STATUS
+		return w.expect(http.MethodGet, f[1], "", f[2:], want)
+	case "withdraw": // ID [at MEMBER] => CODE or STATUS
+		w.referee.Asked(f[1])
+		return w.expect(http.MethodPost, f[1], "/"+wire.WordWithdraw, f[2:], want)
+	case "wait": // SECONDS
+		time.Sleep(seconds(f[1]))
+	case "until": // SECONDS CONDITION
+		return w.until(seconds(f[1]), f[2:])
+	case "never": // SECONDS CONDITION
+		return w.never(seconds(f[1]), f[2:])
+	case "check": // CONDITION
+		return w.check(f[1:])
+	case "crash", "start", "restart":
+		return w.process(f[0], f[1:])
+	case "cut", "refuse", "heal":
+		mode := map[string]standin.Mode{"cut": standin.Hold, "refuse": standin.Refuse, "heal": standin.Pass}[f[0]]
+		return w.link(f[1], f[2], mode)
+	case "state":
+		return w.stateFault(f[1:])
+	case "cloud":
+		return w.cloudFault(f[1:])
+	case "hang", "resume", "die", "take", "notice":
+		return w.machineFault(f[0], f[1:])
+	default:
+		return fmt.Errorf("unknown word")
+	}
+	return nil
+}
+
+func seconds(s string) time.Duration { return time.Duration(number(s) * float64(time.Second)) }
+
+// at takes "at MEMBER" off the end of the words.
+func (w *world) at(f []string) ([]string, string) {
+	if i := slices.Index(f, "at"); i >= 0 {
+		return f[:i], w.member(f[i+1])
+	}
+	for _, m := range w.members {
+		if w.nodes[m].cancel != nil {
+			return f, m
+		}
+	}
+	return f, w.members[0]
+}
+
+// member resolves "leader" and "follower".
+func (w *world) member(name string) string {
+	leader := w.leader()
+	switch name {
+	case "leader":
+		return leader
+	case "follower":
+		for _, m := range w.members {
+			if m != leader && w.nodes[m].cancel != nil {
+				return m
+			}
+		}
+	}
+	return name
+}
+
+func (w *world) submit(f []string, want string) error {
+	f, member := w.at(f)
+	j := wire.Job{ID: f[0], Class: "work", Team: "red", Kind: wire.KindArray, Urgency: "normal", Tasks: 1, CPUs: 1, MemoryGB: 1,
+		Image: "img", ImageGB: 1, Spot: true, EstimateS: 10}
+	run, fails := 10*time.Second, false
+	for _, kv := range f[1:] {
+		k, v, _ := strings.Cut(kv, "=")
+		switch k {
+		case "tasks":
+			j.Tasks = int(number(v))
+		case "cpus":
+			j.CPUs = number(v)
+		case "mem":
+			j.MemoryGB = number(v)
+		case "team":
+			j.Team = v
+		case "shape":
+			j.Kind = v
+		case "urgency":
+			j.Urgency = v
+		case "image":
+			j.Image = v
+		case "gb":
+			j.ImageGB = number(v)
+		case "run":
+			run = seconds(v)
+			j.EstimateS = number(v)
+		case "save":
+			j.SaveS, j.CheckpointS = number(v), 5
+		case "zone":
+			j.Zone = &v
+		case "types":
+			j.Types = strings.Split(v, ",")
+		case "together":
+			j.OneZone = true
+		case "scatter":
+			j.Spread = true
+		case "ordinary":
+			j.Spot = false
+		case "fails":
+			fails = true
+		default:
+			return fmt.Errorf("unknown field %q", k)
+		}
+	}
+	w.referee.Submitted(j, run, fails)
+	code, st, err := w.ask(http.MethodPost, member, wire.PathJobs, j)
+	if err != nil {
+		return err
+	}
+	w.referee.Told(j.ID, code, st.Status)
+	return compare(code, st.Status, want)
+}
+
+func compare(code int, status, want string) error {
+	if want != "" && want != fmt.Sprint(code) && want != status {
+		return fmt.Errorf("answer %d %q, want %s", code, status, want)
+	}
+	return nil
+}
+
+func (w *world) expect(method, id, suffix string, f []string, want string) error {
+	_, member := w.at(f)
+	code, st, err := w.poll(method, member, id, suffix)
+	if err != nil {
+		return err
+	}
+	return compare(code, st, want)
+}
+
+func (w *world) poll(method, member, id, suffix string) (int, string, error) {
+	code, st, err := w.ask(method, member, wire.PathJobs+"/"+id+suffix, nil)
+	if err == nil {
+		w.referee.Told(id, code, st.Status)
+	}
+	return code, st.Status, err
+}
+
+const step = 100 * time.Millisecond
+
+func (w *world) until(limit time.Duration, cond []string) error {
+	end := time.Now().Add(limit)
+	for {
+		err := w.check(cond)
+		if err == nil || !time.Now().Before(end) {
+			return err
+		}
+		time.Sleep(step)
+	}
+}
+
+func (w *world) never(limit time.Duration, cond []string) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(step) {
+		if w.check(cond) == nil {
+			return fmt.Errorf("it came to be")
+		}
+	}
+	return nil
+}
+
+// check tests a condition.
+func (w *world) check(f []string) error {
+	got, want := "", f[len(f)-1]
+	switch f[0] {
+	case "job": // ID STATUS, as any controller that answers tells it
+		for _, m := range w.members {
+			code, st, err := w.poll(http.MethodGet, m, f[1], "")
+			if err != nil {
+				return err
+			}
+			got = st
+			if code == http.StatusOK {
+				break
+			}
+		}
+	case "starts": // ID N
+		got = fmt.Sprint(w.referee.Starts(f[1]))
+	case "on": // ID N
+		got = fmt.Sprint(len(w.referee.On(f[1])))
+	case "task": // ID INDEX MACHINE
+		got = w.referee.On(f[1])[int(number(f[2]))]
+	case "leader": // MEMBER, any or none
+		got = w.leader()
+		if want == "any" && got != "" || want == "none" && got == "" {
+			return nil
+		}
+	case "moved": // MEMBER: another than this leads
+		if l := w.leader(); l != "" && l != want {
+			return nil
+		}
+		got = w.leader()
+	case "machines": // N
+		got = fmt.Sprint(w.cloud.Up())
+	case "rented": // N
+		got = fmt.Sprint(w.cloud.Hired())
+	case "records": // PREFIX N
+		got = fmt.Sprint(w.state.Count(f[1]))
+	case "healthy": // MEMBER yes|no
+		code, _, err := w.ask(http.MethodGet, w.member(f[1]), wire.PathHealth, nil)
+		if err != nil {
+			return err
+		}
+		got = map[bool]string{true: "yes", false: "no"}[code == http.StatusOK]
+	default:
+		return fmt.Errorf("unknown condition %q", f[0])
+	}
+	if got != want {
+		return fmt.Errorf("%s is %q, want %q", strings.Join(f[:len(f)-1], " "), got, want)
+	}
+	return nil
+}
+
+func (w *world) process(what string, f []string) error {
+	members := f
+	if f[0] == "all" {
+		members = w.members
+	}
+	for _, name := range members {
+		m := w.member(name)
+		if w.nodes[m] == nil {
+			return fmt.Errorf("no controller %q", m)
+		}
+		if what != "start" {
+			w.crash(m)
+		}
+		if what != "crash" {
+			if err := w.start(m); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// hosts resolves a name to addresses: a controller, a machine, state, cloud, or all
+// controllers.
+func (w *world) hosts(name string) ([]string, error) {
+	switch name {
+	case "state":
+		return []string{stateIP}, nil
+	case "cloud":
+		return []string{cloudIP}, nil
+	case "controllers":
+		var ips []string
+		for _, m := range w.members {
+			ips = append(ips, w.nodes[m].ip)
+		}
+		return ips, nil
+	}
+	if n := w.nodes[w.member(name)]; n != nil {
+		return []string{n.ip}, nil
+	}
+	if wk := w.cloud.Worker(name); wk != nil {
+		return []string{wk.IP()}, nil
+	}
+	return nil, fmt.Errorf("no host %q", name)
+}
+
+func (w *world) link(a, b string, m standin.Mode) error {
+	as, err := w.hosts(a)
+	if err != nil {
+		return err
+	}
+	bs, err := w.hosts(b)
+	if err != nil {
+		return err
+	}
+	for _, x := range as {
+		for _, y := range bs {
+			if x != y {
+				w.net.Link(x, y, m)
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) stateFault(f []string) error {
+	switch f[0] {
+	case "outage", "back":
+		w.state.Outage(f[0] == "outage")
+	case "refuse", "serve": // MEMBER
+		w.state.Refuse(w.nodes[w.member(f[1])].ip, f[0] == "refuse")
+	case "late": // PREFIX SECONDS
+		w.state.Late(f[1], seconds(f[2]))
+	case "lose": // PREFIX
+		w.state.LoseAnswer(f[1])
+	default:
+		return fmt.Errorf("unknown word")
+	}
+	return nil
+}
+
+func (w *world) cloudFault(f []string) error {
+	switch f[0] {
+	case "outage", "back":
+		w.cloud.Outage(f[0] == "outage")
+	case "lose":
+		w.cloud.LoseAnswer()
+	default:
+		return fmt.Errorf("unknown word")
+	}
+	return nil
+}
+
+func (w *world) machineFault(what string, f []string) error {
+	wk := w.cloud.Worker(f[0])
+	if wk == nil {
+		return fmt.Errorf("no machine %q", f[0])
+	}
+	switch what {
+	case "hang":
+		wk.Hang()
+	case "resume":
+		wk.Resume()
+	case "die":
+		w.cloud.Die(f[0])
+	case "take":
+		w.cloud.Take(f[0])
+	case "notice": // MACHINE SECONDS
+		wk.Notice(seconds(f[1]))
+	}
+	return nil
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,7 +24,6 @@
 	rates   map[string]float64 // fetch rate by zone, GB/s
 	view    *manager.View
 	viewAt  micros.Time
-	free    map[string]*machine
 	order   []*machine
 	queue   []*manager.JobView
 	next    int
@@ -38,8 +37,9 @@
 	newest    []micros.Span
 }
 
+// machine is the scheduler's own copy of a machine; the view is shared with others.
 type machine struct {
-	*manager.MachineView
+	manager.MachineView
 	typ      wire.MachineType
 	claimed  map[uint64]bool // leases whose waiter's place we have taken in this view
 	fetching map[string]bool // images that our grants make it fetch
@@ -85,19 +85,18 @@
 		from = s.queue[s.next].ID
 	}
 	s.view, s.viewAt = v, now
-	s.free, s.order, s.queue, s.next = map[string]*machine{}, nil, nil, 0
+	s.order, s.queue, s.next = nil, nil, 0
 	for i := range v.Machines {
-		mv := &v.Machines[i]
+		mv := v.Machines[i]
 		m := &machine{MachineView: mv, typ: s.types[mv.Type], claimed: map[uint64]bool{}, fetching: map[string]bool{}}
-		s.free[mv.ID] = m
 		s.order = append(s.order, m)
 	}
 	open := map[string]bool{}
 	for i := range v.Jobs {
-		j := &v.Jobs[i]
+		j := v.Jobs[i]
 		open[j.ID] = true
 		if v.Assign[j.Team] == s.member && j.Waiting > 0 && j.Room > 0 {
-			s.queue = append(s.queue, j)
+			s.queue = append(s.queue, &j)
 		} else {
 			delete(s.skipped, j.ID)
 		}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,219 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"saffronbend/wire"
+)
+
+// Cloud is a cloud. It starts workers for the machines that it rents.
+type Cloud struct {
+	mu       sync.Mutex
+	types    []wire.MachineType
+	lag      time.Duration
+	machines map[string]*rented
+	hires    map[string][]string
+	places   map[string]int // machines left by type, zone and kind
+	next     int
+	outage   bool
+	lose     bool
+	start    func(id, ip, typ, zone string, spot bool) *Worker
+	hired    int
+}
+
+type rented struct {
+	m      wire.Machine
+	since  time.Time
+	bootAt time.Time
+	worker *Worker
+	timer  *time.Timer
+}
+
+// NewCloud makes a cloud; start starts the worker of a machine that is up.
+func NewCloud(types []wire.MachineType, lag time.Duration, start func(id, ip, typ, zone string, spot bool) *Worker) *Cloud {
+	return &Cloud{types: types, lag: lag, machines: map[string]*rented{}, hires: map[string][]string{}, places: map[string]int{}, start: start}
+}
+
+func placeKey(typ, zone string, spot bool) string { return fmt.Sprint(typ, "/", zone, "/", spot) }
+
+// Capacity sets how many machines may be rented.
+func (c *Cloud) Capacity(typ, zone string, spot bool, n int) { c.places[placeKey(typ, zone, spot)] = n }
+
+// Outage begins or ends an outage.
+func (c *Cloud) Outage(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outage = on
+}
+
+// LoseAnswer has the next hire carried out without an answer.
+func (c *Cloud) LoseAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lose = true
+}
+
+// Hired gives how many machines have been rented so far.
+func (c *Cloud) Hired() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hired
+}
+
+// Up gives how many machines there are.
+func (c *Cloud) Up() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.machines)
+}
+
+// Worker gives the worker of a machine that is up, or nil.
+func (c *Cloud) Worker(id string) *Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m := c.machines[id]; m != nil {
+		return m.worker
+	}
+	return nil
+}
+
+// Add enters a machine that is up from the start.
+func (c *Cloud) Add(typ, zone string, spot bool) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rent(typ, zone, spot, 0)
+}
+
+// Die ends a machine by itself; it is listed as failed at once.
+func (c *Cloud) Die(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.machines[id]
+	m.worker.Stop()
+	m.m.State = wire.MachineFailed
+}
+
+// Take takes a machine back: it is gone and no longer listed.
+func (c *Cloud) Take(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machines[id].worker.Stop()
+	delete(c.machines, id)
+}
+
+func (c *Cloud) rent(typ, zone string, spot bool, boot time.Duration) string {
+	c.next++
+	id := fmt.Sprintf("n-%06d", c.next)
+	ip := fmt.Sprintf("10.1.%d.%d", c.next/250, c.next%250+1)
+	m := &rented{since: time.Now(), bootAt: time.Now().Add(boot),
+		m: wire.Machine{ID: id, Addr: ip + ":9000", Type: typ, Zone: zone, Spot: spot, State: wire.MachineStarting}}
+	c.machines[id] = m
+	up := func() {
+		m.worker = c.start(id, ip, typ, zone, spot)
+		m.m.State = wire.MachineRunning
+	}
+	if boot == 0 {
+		up()
+		m.since = m.since.Add(-time.Hour)
+		return id
+	}
+	m.timer = time.AfterFunc(boot, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.machines[id] == m {
+			up()
+		}
+	})
+	return id
+}
+
+// ServeHTTP serves the protocol.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.outage {
+		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /machine_types":
+		reply(w, http.StatusOK, wire.MachineTypes{Types: c.types})
+	case "GET /machines":
+		l := wire.MachineList{Machines: []wire.Machine{}}
+		for _, id := range sortedKeys(c.machines) {
+			m := c.machines[id]
+			if age := time.Since(m.since); age >= c.lag {
+				m.m.AgeS = age.Seconds()
+				l.Machines = append(l.Machines, m.m)
+			}
+		}
+		reply(w, http.StatusOK, l)
+	case "POST /machines":
+		c.hire(w, r)
+	case "POST /machines/delete":
+		var n wire.Names
+		if json.NewDecoder(r.Body).Decode(&n) != nil || len(n.Machines) > 100 {
+			reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+			return
+		}
+		for _, id := range n.Machines {
+			c.remove(id)
+		}
+		reply(w, http.StatusOK, struct{}{})
+	default:
+		reply(w, http.StatusNotFound, wire.Error{Error: "no such path"})
+	}
+}
+
+func (c *Cloud) remove(id string) {
+	m := c.machines[id]
+	if m == nil {
+		return
+	}
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	if m.worker != nil && m.m.State == wire.MachineRunning {
+		m.worker.Stop()
+	}
+	c.places[placeKey(m.m.Type, m.m.Zone, m.m.Spot)]++
+	delete(c.machines, id)
+}
+
+func (c *Cloud) hire(w http.ResponseWriter, r *http.Request) {
+	var h wire.Hire
+	if json.NewDecoder(r.Body).Decode(&h) != nil || h.Request == "" || h.Count < 1 || h.Count > 50 {
+		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	names, known := c.hires[h.Request]
+	if !known {
+		left := c.places[placeKey(h.Type, h.Zone, h.Spot)]
+		n := min(h.Count, left)
+		if n == 0 {
+			reply(w, http.StatusServiceUnavailable, wire.Error{Error: "no capacity"})
+			return
+		}
+		boot := time.Minute
+		for _, t := range c.types {
+			if t.Name == h.Type {
+				boot = time.Duration(t.BootS * float64(time.Second))
+			}
+		}
+		for range n {
+			names = append(names, c.rent(h.Type, h.Zone, h.Spot, boot))
+		}
+		c.places[placeKey(h.Type, h.Zone, h.Spot)] -= n
+		c.hires[h.Request] = names
+		c.hired += n
+	}
+	if c.lose {
+		c.lose = false
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusOK, wire.Names{Machines: names})
+}
--- /dev/null
+++ b/internal/standin/referee.go
@@ -0,0 +1,185 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"saffronbend/wire"
+)
+
+// Referee knows what users have submitted and been told, and where each task is. It
+// notes every breach of the protocol's rules.
+type Referee struct {
+	mu     sync.Mutex
+	cancel time.Duration
+	limits map[string]float64 // CPUs by team, 0: none
+	types  map[string]*wire.MachineType
+	jobs   map[string]*refJob
+	starts map[string]int // by job
+	used   map[string]float64
+	broken []string
+}
+
+type refJob struct {
+	job       wire.Job
+	run       time.Duration
+	fails     bool
+	told      string
+	toldAt    time.Time
+	cancelled bool // its user has asked for it
+	on        map[int]*Worker
+	done      map[int]bool
+}
+
+// NewReferee makes a referee.
+func NewReferee(cancel time.Duration) *Referee {
+	return &Referee{cancel: cancel, limits: map[string]float64{}, types: map[string]*wire.MachineType{}, jobs: map[string]*refJob{},
+		starts: map[string]int{}, used: map[string]float64{}}
+}
+
+// Limit sets a team's limit of CPUs.
+func (r *Referee) Limit(team string, cpus float64) { r.limits[team] = cpus }
+
+// Type makes a machine type known.
+func (r *Referee) Type(t wire.MachineType) { r.types[t.Name] = &t }
+
+func (r *Referee) breach(rule, format string, args ...any) {
+	r.broken = append(r.broken, rule+": "+fmt.Sprintf(format, args...))
+}
+
+// Broken lists the breaches so far.
+func (r *Referee) Broken() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.broken...)
+}
+
+// Starts gives how many task starts a job has seen.
+func (r *Referee) Starts(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts[job]
+}
+
+// On gives the machines that a job's tasks are on.
+func (r *Referee) On(job string) map[int]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	on := map[int]string{}
+	if j := r.jobs[job]; j != nil {
+		for n, w := range j.on {
+			on[n] = w.id
+		}
+	}
+	return on
+}
+
+// Submitted notes that a user has begun to submit a job.
+func (r *Referee) Submitted(j wire.Job, run time.Duration, fails bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.jobs[j.ID] == nil {
+		r.jobs[j.ID] = &refJob{job: j, run: run, fails: fails, on: map[int]*Worker{}, done: map[int]bool{}}
+	}
+}
+
+// Asked notes that a user asks to cancel.
+func (r *Referee) Asked(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j := r.jobs[id]; j != nil {
+		j.cancelled = true
+	}
+}
+
+// Told notes an answer to a user.
+func (r *Referee) Told(id string, code int, status string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	if j == nil {
+		if code == 200 {
+			r.breach("invented", "%s", id)
+		}
+		return
+	}
+	if j.told != "" && (code == 404 || code == 400 || code == 422) {
+		r.breach("forgotten", "%s is answered %d", id, code)
+	}
+	if code != 200 && code != 201 {
+		return
+	}
+	final := func(s string) bool { return s == wire.JobDone || s == wire.JobCancelled }
+	if final(j.told) && status != j.told {
+		r.breach("went_back", "%s was %s, now %s", id, j.told, status)
+	}
+	if status == wire.JobCancelled && !j.cancelled {
+		r.breach("went_back", "%s is cancelled though nobody asked", id)
+	}
+	if status == wire.JobDone && len(j.done) < j.job.Tasks {
+		r.breach("not_done", "%s with %d of %d", id, len(j.done), j.job.Tasks)
+	}
+	if j.told != status {
+		j.told, j.toldAt = status, time.Now()
+	}
+}
+
+func (r *Referee) describe(id string) (wire.Job, time.Duration, bool, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	if j == nil {
+		return wire.Job{}, 0, false, false
+	}
+	return j.job, j.run, j.fails, true
+}
+
+// started notes that a task is on a machine from now on.
+func (r *Referee) started(w *Worker, id string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	r.starts[id]++
+	if other := j.on[n]; other != nil && other != w {
+		r.breach("ran_twice", "%s/%d starts on %s while it is on %s", id, n, w.id, other.id)
+	}
+	r.late(id, j, "starts")
+	zones, total := 0, 0
+	for _, o := range j.on {
+		total++
+		if o.zone == w.zone {
+			zones++
+		}
+	}
+	t := r.types[w.typ]
+	if !j.job.Allows(t, w.zone, w.spot) || j.job.OneZone && zones < total || j.job.Spread && zones+1 > (j.job.Tasks+1)/2 {
+		r.breach("wrong_place", "%s/%d on %s in %s", id, n, w.id, w.zone)
+	}
+	j.on[n] = w
+	r.used[j.job.Team] += j.job.CPUs
+	if limit := r.limits[j.job.Team]; limit > 0 && r.used[j.job.Team] > limit+1e-9 {
+		r.breach("quota", "%s uses %g of %g", j.job.Team, r.used[j.job.Team], limit)
+	}
+}
+
+func (r *Referee) late(id string, j *refJob, what string) {
+	if j.told == wire.JobCancelled && time.Since(j.toldAt) > r.cancel {
+		r.breach("ran_cancelled", "a task of %s %s %s after its cancellation", id, what, time.Since(j.toldAt))
+	}
+}
+
+// left notes that a task is no longer on a machine.
+func (r *Referee) left(w *Worker, id string, n int, done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	r.late(id, j, "leaves")
+	if j.on[n] == w {
+		delete(j.on, n)
+	}
+	r.used[j.job.Team] -= j.job.CPUs
+	if done {
+		j.done[n] = true
+	}
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,329 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"saffronbend/wire"
+)
+
+// State is a state service.
+type State struct {
+	mu       sync.Mutex
+	items    map[string]wire.Item
+	revision uint64
+	leases   map[uint64]*time.Timer
+	lives    map[uint64]time.Duration
+	nextID   uint64
+	log      []wire.Event
+	change   chan struct{}
+	outage   bool
+	refused  map[string]bool
+	lateFor  time.Duration // the next transaction that changes a key with latePrefix
+	late     string        // is applied this much later, and its answer is lost
+	lost     string        // the next such transaction is applied, its answer lost
+}
+
+// NewState makes an empty service.
+func NewState() *State {
+	return &State{items: map[string]wire.Item{}, leases: map[uint64]*time.Timer{}, lives: map[uint64]time.Duration{},
+		change: make(chan struct{}), refused: map[string]bool{}}
+}
+
+// Outage begins or ends an outage; after one, every lease has its full time again.
+func (s *State) Outage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = on
+	for id, t := range s.leases {
+		if on {
+			t.Stop()
+		} else {
+			t.Reset(s.lives[id])
+		}
+	}
+	s.signal()
+}
+
+// Refuse begins or ends refusing one host.
+func (s *State) Refuse(ip string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[ip] = on
+	s.signal()
+}
+
+// Late holds the next transaction that changes a key with the prefix back: it is
+// applied after the time given, if its conditions hold then; its answer is lost.
+func (s *State) Late(prefix string, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late, s.lateFor = prefix, after
+}
+
+// LoseAnswer has the next transaction that changes a key with the prefix carried out
+// without an answer.
+func (s *State) LoseAnswer(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = prefix
+}
+
+// Count gives the number of keys with a prefix.
+func (s *State) Count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) signal() {
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+func (s *State) unavailable(ip string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outage || s.refused[ip]
+}
+
+func reply(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// ServeHTTP serves the protocol.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if s.unavailable(ip) {
+		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "outage"})
+		return
+	}
+	switch {
+	case r.URL.Path == "/txn":
+		s.txn(w, r)
+	case r.URL.Path == "/watch":
+		s.watch(w, r, ip)
+	case r.URL.Path == "/kv":
+		s.list(w, r)
+	case strings.HasPrefix(r.URL.Path, "/kv/"):
+		s.get(w, strings.TrimPrefix(r.URL.Path, "/kv/"))
+	case strings.HasPrefix(r.URL.Path, "/grants"):
+		s.grants(w, r)
+	default:
+		reply(w, http.StatusBadRequest, wire.Error{Error: "no such path"})
+	}
+}
+
+func (s *State) get(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if it, ok := s.items[key]; ok {
+		reply(w, http.StatusOK, it)
+		return
+	}
+	reply(w, http.StatusNotFound, wire.TxnResult{Revision: s.revision})
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	page, _ := strconv.Atoi(q.Get("page"))
+	if page <= 0 || page > 1000 {
+		page = 1000
+	}
+	l := wire.ItemList{Items: []wire.Item{}, Revision: s.revision}
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("from") {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	for i, k := range keys {
+		if i == page {
+			l.More = true
+			break
+		}
+		l.Items = append(l.Items, s.items[k])
+	}
+	reply(w, http.StatusOK, l)
+}
+
+func (s *State) txn(w http.ResponseWriter, r *http.Request) {
+	var t wire.Txn
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	touches := func(prefix string) bool {
+		return prefix != "" && slices.ContainsFunc(t.Then, func(c wire.Change) bool {
+			return strings.HasPrefix(c.Put, prefix) || strings.HasPrefix(c.Delete, prefix)
+		})
+	}
+	if touches(s.late) {
+		s.late = ""
+		time.AfterFunc(s.lateFor, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(t)
+		})
+		panic(http.ErrAbortHandler) // the answer is lost
+	}
+	code, body := s.apply(t)
+	if touches(s.lost) {
+		s.lost = ""
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, code, body)
+}
+
+func (s *State) apply(t wire.Txn) (int, any) {
+	for _, c := range t.Then {
+		if _, ok := s.leases[c.Lease]; c.Lease != 0 && !ok {
+			return http.StatusBadRequest, wire.Error{Error: "no such lease"}
+		}
+	}
+	res := wire.TxnResult{}
+	for _, c := range t.If {
+		if s.items[c.Key].Version != c.Version {
+			res.Failed = append(res.Failed, c.Key)
+		}
+	}
+	if len(res.Failed) > 0 {
+		res.Revision = s.revision
+		return http.StatusConflict, res
+	}
+	if len(t.Then) > 0 {
+		s.revision++
+	}
+	for _, c := range t.Then {
+		if c.Delete != "" {
+			s.remove(c.Delete)
+			continue
+		}
+		s.items[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
+		s.log = append(s.log, wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
+	}
+	s.signal()
+	res.Revision = s.revision
+	return http.StatusOK, res
+}
+
+func (s *State) remove(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.log = append(s.log, wire.Event{Delete: key, Version: s.revision})
+	}
+}
+
+func (s *State) grants(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
+	if len(parts) == 1 {
+		var ask wire.LeaseAsk
+		if json.NewDecoder(r.Body).Decode(&ask) != nil || ask.TTLMillis < 100 {
+			reply(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+			return
+		}
+		s.nextID++
+		id := s.nextID
+		s.lives[id] = time.Duration(ask.TTLMillis) * time.Millisecond
+		s.leases[id] = time.AfterFunc(s.lives[id], func() { s.expire(id) })
+		reply(w, http.StatusOK, wire.Lease{ID: id})
+		return
+	}
+	id, _ := strconv.ParseUint(parts[1], 10, 64)
+	t := s.leases[id]
+	if t == nil {
+		reply(w, http.StatusNotFound, wire.Error{Error: "no such lease"})
+		return
+	}
+	t.Reset(s.lives[id])
+	reply(w, http.StatusOK, wire.Lease{ID: id})
+}
+
+func (s *State) expire(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage || s.leases[id] == nil {
+		return
+	}
+	delete(s.leases, id)
+	s.revision++
+	for _, k := range sortedKeys(s.items) {
+		if s.items[k].Lease == id {
+			s.remove(k)
+		}
+	}
+	s.signal()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *State) watch(w http.ResponseWriter, r *http.Request, ip string) {
+	q := r.URL.Query()
+	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+	block, _ := strconv.Atoi(q.Get("block_ms"))
+	end := time.NewTimer(time.Duration(block) * time.Millisecond)
+	defer end.Stop()
+	for over := false; ; {
+		res, change := s.since(q.Get("prefix"), from)
+		// During an outage an open watch stays open.
+		if (len(res.Events) > 0 || over) && !s.unavailable(ip) {
+			reply(w, http.StatusOK, res)
+			return
+		}
+		select {
+		case <-change:
+		case <-end.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *State) since(prefix string, from uint64) (wire.WatchResult, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res := wire.WatchResult{Revision: s.revision, Events: []wire.Event{}}
+	for _, e := range s.log {
+		if e.Version > from && strings.HasPrefix(e.Put+e.Delete, prefix) {
+			res.Events = append(res.Events, e)
+		}
+	}
+	return res, s.change
+}
+
+// Item gives a key's item.
+func (s *State) Item(key string) (wire.Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[key]
+	return it, ok
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,406 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"saffronbend/wire"
+)
+
+// WorkerConfig holds the times of the worker protocol.
+type WorkerConfig struct {
+	Report, Lease time.Duration
+	Nodes         []Address
+	Types         map[string]*wire.MachineType
+	Referee       *Referee
+}
+
+// Address is a controller and where it serves workers.
+type Address struct{ Member, Addr string }
+
+// Worker is the worker of one machine. Its goroutine owns all of its state.
+type Worker struct {
+	id, ip, typ, zone string
+	spot              bool
+	cfg               WorkerConfig
+	host              *Host
+	http              *http.Client
+	inbox             chan func()
+	cancel            context.CancelFunc
+
+	session, seq, token uint64
+	renewed             time.Time // when the last answered report was sent
+	tokenNoted          time.Time
+	notice              time.Time
+	tasks               []*workerTask
+	images              map[string]time.Time // when it is there
+	node                int
+	inFlight, changed   bool
+	nextReport          time.Time
+	lastReport          time.Time
+	hung                chan struct{}
+	dying               atomic.Bool
+	gone                chan struct{}
+}
+
+type workerTask struct {
+	name    string
+	job     string
+	index   int
+	attempt uint64
+	state   string
+	why     string
+	saved   bool
+	on      bool // on the machine, as the rules count it
+	until   time.Time
+	stopped bool
+	desc    wire.Job
+}
+
+// NewWorker starts a worker; it ends with ctx or Stop.
+func NewWorker(ctx context.Context, n *Network, cfg WorkerConfig, id, ip, typ, zone string, spot bool) *Worker {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &Worker{id: id, ip: ip, typ: typ, zone: zone, spot: spot, cfg: cfg, host: n.Host(ip), inbox: make(chan func(), 64),
+		cancel: cancel, gone: make(chan struct{}), session: 1, images: map[string]time.Time{}, renewed: time.Now()}
+	w.http = &http.Client{Transport: &http.Transport{DialContext: w.host.Dial}}
+	l, err := w.host.Listen(ip + ":9000")
+	if err != nil {
+		panic(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(w.direct)}
+	go func() { _ = srv.Serve(l) }()
+	go func() {
+		defer srv.Close()
+		defer w.http.CloseIdleConnections()
+		w.run(ctx)
+	}()
+	return w
+}
+
+// do has the worker's goroutine do something, once it does not hang.
+func (w *Worker) do(ctx context.Context, f func()) bool {
+	select {
+	case w.inbox <- f:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Hang stops the worker and its tasks until Resume.
+func (w *Worker) Hang() {
+	hung := make(chan struct{})
+	w.hung = hung
+	w.inbox <- func() { <-hung }
+}
+
+// Resume ends a hang.
+func (w *Worker) Resume() {
+	if w.hung != nil {
+		close(w.hung)
+		w.hung = nil
+	}
+}
+
+// Notice has the cloud announce that it takes the machine back.
+func (w *Worker) Notice(in time.Duration) {
+	at := time.Now().Add(in)
+	w.inbox <- func() {
+		w.notice = at
+		w.changed = true
+	}
+}
+
+// Stop ends the machine and everything on it, without a word on the network.
+func (w *Worker) Stop() {
+	w.host.net.Remove(w.ip)
+	w.dying.Store(true)
+	w.Resume()
+	<-w.gone
+}
+
+func (w *Worker) run(ctx context.Context) {
+	defer close(w.gone)
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-w.inbox:
+			if !w.dying.Load() {
+				f()
+			}
+		case <-tick.C:
+		}
+		if w.dying.Load() {
+			w.kill()
+			w.cancel()
+			return
+		}
+		w.step(ctx)
+	}
+}
+
+func (w *Worker) step(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(w.renewed) > w.cfg.Lease {
+		w.kill()
+		w.session++
+		w.renewed = now
+		w.changed = true
+	}
+	for _, t := range w.tasks {
+		w.advance(now, t)
+	}
+	due := !now.Before(w.nextReport) || w.changed && now.Sub(w.lastReport) >= 500*time.Millisecond
+	if !w.inFlight && due {
+		w.report(ctx, now)
+	}
+}
+
+func (w *Worker) kill() {
+	for _, t := range w.tasks {
+		w.leave(t, false)
+	}
+	w.tasks = nil
+}
+
+func (w *Worker) leave(t *workerTask, done bool) {
+	if t.on {
+		t.on = false
+		w.cfg.Referee.left(w, t.job, t.index, done)
+	}
+}
+
+func (w *Worker) exit(t *workerTask, why string, saved bool) {
+	w.leave(t, why == wire.WhyDone)
+	t.state, t.why, t.saved = wire.TaskExited, why, saved
+	w.changed = true
+}
+
+func (w *Worker) advance(now time.Time, t *workerTask) {
+	switch t.state {
+	case wire.TaskFetching:
+		if now.Before(w.images[t.desc.Image]) {
+			return
+		}
+		_, run, fails, _ := w.cfg.Referee.describe(t.job)
+		t.state, t.on = wire.TaskRunning, true
+		t.until = now.Add(run)
+		w.changed = true
+		w.cfg.Referee.started(w, t.job, t.index)
+		if fails {
+			w.exit(t, wire.WhyError, false)
+		}
+	case wire.TaskRunning:
+		if !now.Before(t.until) {
+			w.exit(t, wire.WhyDone, false)
+		}
+	case wire.TaskSaving:
+		if !now.Before(t.until) {
+			w.exit(t, wire.WhyStopped, true)
+		}
+	}
+}
+
+func (w *Worker) report(ctx context.Context, now time.Time) {
+	w.inFlight, w.changed = true, false
+	w.lastReport = now
+	w.nextReport = now.Add(time.Duration(float64(w.cfg.Report) * (0.75 + rand.Float64()/2)))
+	body, session := w.describe(), w.session
+	addr := w.cfg.Nodes[w.node].Addr
+	go func() {
+		code, answer := w.send(ctx, addr, body)
+		w.do(ctx, func() { w.answered(now, session, code, answer) })
+	}()
+}
+
+func (w *Worker) describe() []byte {
+	w.seq++
+	r := wire.Report{Machine: w.id, Addr: w.ip + ":9000", Type: w.typ, Zone: w.zone, Spot: w.spot, Session: w.session,
+		Seq: w.seq, Token: w.token, Tasks: []wire.TaskReport{}}
+	if !w.notice.IsZero() {
+		s := time.Until(w.notice).Seconds()
+		r.NoticeS = &s
+	}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.saved})
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func (w *Worker) send(ctx context.Context, addr string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+wire.PathReport, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	resp, err := w.http.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, data
+}
+
+func (w *Worker) answered(sent time.Time, session uint64, code int, body []byte) {
+	w.inFlight = false
+	now := time.Now()
+	switch code {
+	case http.StatusOK:
+		var a wire.ReportAnswer
+		if session != w.session || json.Unmarshal(body, &a) != nil || a.Token < w.token || now.Sub(sent) > 4*time.Second {
+			return
+		}
+		w.heed(now, a.Token)
+		w.renewed = sent
+		w.execute(a.Commands)
+		return
+	case http.StatusMisdirectedRequest:
+		var red wire.Redirect
+		if json.Unmarshal(body, &red) == nil {
+			for i, n := range w.cfg.Nodes {
+				if n.Member == red.ReportTo && i != w.node {
+					w.node = i
+					w.nextReport = now.Add(100 * time.Millisecond)
+					return
+				}
+			}
+		}
+	}
+	w.node = (w.node + 1) % len(w.cfg.Nodes)
+	w.nextReport = now.Add(time.Second)
+}
+
+// heed takes a token; a higher one is a change at most once in half of the lease.
+func (w *Worker) heed(now time.Time, token uint64) {
+	if token > w.token {
+		w.token = token
+		if now.Sub(w.tokenNoted) > w.cfg.Lease/2 {
+			w.tokenNoted = now
+			w.changed = true
+		}
+	}
+}
+
+func (w *Worker) direct(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != wire.PathCommands {
+		reply(rw, http.StatusNotFound, wire.Error{Error: "no such path"})
+		return
+	}
+	var d wire.Direct
+	if json.NewDecoder(r.Body).Decode(&d) != nil || d.Token == 0 || d.Session == 0 {
+		reply(rw, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	type result struct {
+		code int
+		body []byte
+	}
+	results := make(chan result, 1)
+	// A hanging worker executes the request when it resumes, though nobody waits for
+	// the answer any more.
+	accepted := w.do(r.Context(), func() {
+		code := http.StatusConflict
+		if d.Token >= w.token && d.Session == w.session {
+			code = http.StatusOK
+			w.heed(time.Now(), d.Token)
+			w.execute(d.Commands)
+			for _, t := range w.tasks {
+				w.advance(time.Now(), t)
+			}
+		}
+		results <- result{code, w.describe()}
+	})
+	if !accepted {
+		return
+	}
+	select {
+	case res := <-results:
+		rw.WriteHeader(res.code)
+		_, _ = rw.Write(res.body)
+	case <-r.Context().Done():
+	}
+}
+
+func (w *Worker) execute(cmds []wire.Command) {
+	for _, c := range cmds {
+		i := slices.IndexFunc(w.tasks, func(t *workerTask) bool { return t.name == c.Task && t.attempt == c.Attempt })
+		switch {
+		case c.Op == wire.OpStart && i < 0:
+			w.launch(c)
+		case c.Op == wire.OpStop && i >= 0 && w.tasks[i].state != wire.TaskExited:
+			w.stop(w.tasks[i], c)
+		case c.Op == wire.OpForget && i >= 0 && w.tasks[i].state == wire.TaskExited:
+			w.tasks = slices.Delete(w.tasks, i, i+1)
+		}
+	}
+}
+
+func (w *Worker) launch(c wire.Command) {
+	w.changed = true
+	id, n, _ := wire.SplitTask(c.Task)
+	t := &workerTask{name: c.Task, job: id, index: n, attempt: c.Attempt, state: wire.TaskFetching}
+	w.tasks = append(w.tasks, t)
+	desc, _, _, known := w.cfg.Referee.describe(id)
+	if !known {
+		w.exit(t, wire.WhyUnknown, false)
+		return
+	}
+	t.desc = desc
+	cpus, mem := 0.0, 0.0
+	for _, o := range w.tasks {
+		if o == t || o.state == wire.TaskExited {
+			continue
+		}
+		if o.name == t.name {
+			w.exit(t, wire.WhyBusy, false)
+			return
+		}
+		cpus, mem = cpus+o.desc.CPUs, mem+o.desc.MemoryGB
+	}
+	spec := w.cfg.Types[w.typ]
+	if cpus+desc.CPUs > spec.CPUs+1e-9 || mem+desc.MemoryGB > spec.MemoryGB+1e-9 {
+		w.exit(t, wire.WhyNoRoom, false)
+		return
+	}
+	if _, ok := w.images[desc.Image]; !ok {
+		w.images[desc.Image] = time.Now().Add(time.Duration(desc.ImageGB / spec.FetchGBPS * float64(time.Second)))
+	}
+}
+
+func (w *Worker) stop(t *workerTask, c wire.Command) {
+	grace := 0.0
+	if c.GraceS != nil {
+		grace = *c.GraceS
+	}
+	if t.state == wire.TaskRunning && t.desc.CheckpointS > 0 && grace >= t.desc.SaveS {
+		t.state = wire.TaskSaving
+		t.until = time.Now().Add(time.Duration(t.desc.SaveS * float64(time.Second)))
+		w.changed = true
+		return
+	}
+	if t.state != wire.TaskSaving || grace == 0 {
+		w.exit(t, wire.WhyStopped, false)
+	}
+}
+
+// IP gives the machine's address.
+func (w *Worker) IP() string { return w.ip }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -42,11 +42,13 @@
 	writes *rate.Limiter
 }
 
+// Dialer opens connections.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // New makes a client. It starts no goroutine of its own.
-func New(addr string, rps, writeRPS float64) *Client {
+func New(dial Dialer, addr string, rps, writeRPS float64) *Client {
 	transport := func(conns int) *http.Transport {
-		d := &net.Dialer{Timeout: time.Second}
-		return &http.Transport{DialContext: d.DialContext, MaxConnsPerHost: conns,
+		return &http.Transport{DialContext: dial, MaxConnsPerHost: conns,
 			MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true}
 	}
 	return &Client{
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -49,10 +49,12 @@
 // Client sends direct orders.
 type Client struct{ http *http.Client }
 
+// Dialer opens connections.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewClient makes a client with few connections to each worker.
-func NewClient() *Client {
-	d := &net.Dialer{Timeout: 1500 * time.Millisecond}
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext,
+func NewClient(dial Dialer) *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: dial,
 		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
 }
 
--- a/node.go
+++ b/node.go
@@ -32,9 +32,30 @@
 	"saffronbend/wire"
 )
 
+// Network is how a Node reaches others and is reached.
+type Network interface {
+	Listen(addr string) (net.Listener, error)
+	Dial(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// TCP is the network of the machine.
+type TCP struct{ dialer net.Dialer }
+
+// NewTCP makes a network whose connections must come about within a second or two.
+func NewTCP() *TCP { return &TCP{net.Dialer{Timeout: 1500 * time.Millisecond}} }
+
+// Listen listens on a TCP address.
+func (*TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Dial opens a connection.
+func (t *TCP) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return t.dialer.DialContext(ctx, network, addr)
+}
+
 // Node is one controller.
 type Node struct {
 	set     *settings.Settings
+	net     Network
 	log     *slog.Logger
 	clock   micros.Clock
 	run     uint64
@@ -60,12 +81,12 @@
 type counts struct{ done, running int }
 
 // New makes a controller from checked settings.
-func New(set *settings.Settings, log *slog.Logger) *Node {
+func New(set *settings.Settings, network Network, log *slog.Logger) *Node {
 	d := &set.Deployment
-	n := &Node{set: set, log: log.With("member", set.Member), clock: micros.NewClock(), run: rand.Uint64() >> 11,
-		state:   state.New(set.Services.State, set.Share(d.State.RPS), set.Share(d.State.WriteRPS)),
-		cloud:   cloud.New(set.Services.Cloud, set.Share(d.Cloud.RPS)),
-		workers: worker.NewClient()}
+	n := &Node{set: set, net: network, log: log.With("member", set.Member), clock: micros.NewClock(), run: rand.Uint64() >> 11,
+		state:   state.New(network.Dial, set.Services.State, set.Share(d.State.RPS), set.Share(d.State.WriteRPS)),
+		cloud:   cloud.New(network.Dial, set.Services.Cloud, set.Share(d.Cloud.RPS)),
+		workers: worker.NewClient(network.Dial)}
 	n.role.Store(&role{})
 	n.placer = newPlacer(n)
 	return n
@@ -75,11 +96,11 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	front, err := net.Listen("tcp", n.set.Listen)
+	front, err := n.net.Listen(n.set.Listen)
 	if err != nil {
 		return fmt.Errorf("serve_on: %w", err)
 	}
-	back, err := net.Listen("tcp", n.set.PeerListen)
+	back, err := n.net.Listen(n.set.PeerListen)
 	if err != nil {
 		_ = front.Close()
 		return fmt.Errorf("cluster_listen: %w", err)
