Stop what an earlier leader left of cancelled jobs; booting machines are coming room

Causes found by scenarios: a job loaded as cancelled was never stopped; a machine that had just come up counted as silent since it was rented and was returned; while it waited for its second report another was rented for the same task.

--- a/follow.go
+++ b/follow.go
@@ -106,7 +106,7 @@
 			s.SetTypes(types)
 		}
 		s.View(n.clock.Now(), o.view)
-		for again := true; again; again = s.Unfinished() && len(p.views) == 0 {
+		for again := true; again; again = s.Unfinished() && s.Current() && len(p.views) == 0 {
 			began := time.Now()
 			budget := n.set.Tuning.RoundBudget.Duration()
 			requests := s.Round(n.clock.Now(), func() bool { return time.Since(began) > budget })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,17 +43,17 @@
 // Fleet is the state of a term.
 type Fleet struct {
 	cfg     Config
+	born    micros.Time
 	types   []wire.MachineType
 	refused map[place]micros.Time // no asking again before
 	refusal map[place]micros.Span
 	out     map[string]wire.Hire // hires that await their outcome
 	serial  int
-	bad     map[string]bool // noted already
 }
 
 // New starts a term.
-func New(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, refused: map[place]micros.Time{}, refusal: map[place]micros.Span{}, out: map[string]wire.Hire{}, bad: map[string]bool{}}
+func New(now micros.Time, cfg Config) *Fleet {
+	return &Fleet{cfg: cfg, born: now, refused: map[place]micros.Time{}, refusal: map[place]micros.Span{}, out: map[string]wire.Hire{}}
 }
 
 // SetTypes takes the machine types with their current prices.
@@ -109,6 +109,10 @@
 		return acts
 	}
 	f.remove(v, &acts)
+	// A new leader first hears from the machines that there are.
+	if now.Sub(f.born) < f.cfg.Report.Scale(1.25)+2*micros.Second {
+		return acts
+	}
 	bins, count := f.bins(v, acts.Return)
 	short := f.shortage(v, bins)
 	f.rent(now, short, count, &acts)
@@ -169,9 +173,7 @@
 					b.cpus, b.gpus, b.mem = b.cpus+l.CPUs, b.gpus+l.GPUs, b.mem+l.MemoryGB
 				}
 			}
-		case !m.Up && (m.State == wire.MachineStarting || m.Silent < f.cfg.Lease):
-			b.cpus, b.gpus, b.mem = t.CPUs, t.GPUs, t.MemoryGB
-		default:
+		case !m.Soon:
 			continue
 		}
 		bins = append(bins, b)
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -231,7 +231,12 @@
 		}
 	}
 	for _, id := range m.order {
-		m.settle(now, m.jobs[id])
+		j := m.jobs[id]
+		// A job cancelled under an earlier leader may still have tasks running.
+		if j.over != "" {
+			m.stopAll(now, j)
+		}
+		m.settle(now, j)
 	}
 	return m, nil
 }
@@ -412,14 +417,18 @@
 		j.overAt = now
 		j.finalOut = false
 		m.finals = slices.DeleteFunc(m.finals, func(x string) bool { return x == id })
-		for _, a := range sorted(j.active) {
-			m.stop(now, a, 0)
-		}
+		m.stopAll(now, j)
 		m.settle(now, j)
 		m.changed = true
 	}
 }
 
+func (m *Manager) stopAll(now micros.Time, j *job) {
+	for _, a := range sorted(j.active) {
+		m.stop(now, a, 0)
+	}
+}
+
 // JobRemoved forgets that a job's open record was deleted; the watch has passed it.
 func (m *Manager) JobRemoved(id string) { delete(m.removed, id) }
 
@@ -488,6 +497,10 @@
 		}
 		mc.listedAt = now
 		mc.unlisted = 0
+		// A machine that has just come up is silent from now on, not since it was rented.
+		if l.State == wire.MachineRunning && mc.state != wire.MachineRunning && !mc.up {
+			mc.lastHeard = now
+		}
 		// A list may be older than the one before, but failed is final.
 		if mc.state != wire.MachineFailed {
 			mc.state = l.State
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -40,6 +40,10 @@
 		Suspect: mc.suspect, Missing: mc.unlisted >= 3, Age: now.Sub(mc.born), Silent: now.Sub(mc.lastHeard),
 		Proven: len(mc.attempts) == 0 && len(mc.strays) == 0}
 	mv.CPUs, mv.GPUs, mv.MemoryGB = m.free(mc)
+	// A machine that has just come up reports twice before it is usable: the second
+	// time it has our token.
+	mv.Soon = mc.spec != nil && mc.notice == 0 && !mc.draining && !mc.deleting && mc.suspect == "" && !mv.Failed &&
+		(mc.state == wire.MachineStarting && !mc.up || !mc.confirmed && mv.Silent < m.cfg.Lease)
 	if mv.Proven {
 		mv.Idle = now.Sub(mc.idleSince)
 	}
@@ -66,11 +70,20 @@
 	jb := &j.rec.Job
 	jv := JobView{ID: jb.ID, Class: jb.Class, Team: jb.Team, Priority: jb.Priority(), CPUs: jb.CPUs, GPUs: jb.GPUs,
 		MemoryGB: jb.MemoryGB, Image: jb.Image, ImageGB: jb.ImageGB, Types: jb.Types, Zone: jb.Zone, Spot: jb.Spot,
-		Special: jb.OneZone || jb.Spread, Estimate: micros.Seconds(jb.EstimateS), Waiting: j.waiting, Active: len(j.active),
+		OneZone: jb.OneZone, Estimate: micros.Seconds(jb.EstimateS), Waiting: j.waiting, Active: len(j.active),
 		Done: j.done, Room: m.room(j), Age: now.Sub(j.born), Due: micros.Forever}
 	if now < j.notBefore {
 		jv.Waiting = 0
 	}
+	if jb.Spread {
+		jv.ZoneMax = (jb.Tasks + 1) / 2
+	}
+	if jb.OneZone || jb.Spread {
+		jv.InZone = map[string]int{}
+		for _, a := range j.active {
+			jv.InZone[a.machine.zone]++
+		}
+	}
 	if j.due != 0 {
 		jv.Due = j.due.Sub(now)
 	}
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -43,6 +43,7 @@
 	Missing  bool        `json:"-"` // no longer listed though it was
 	Age      micros.Span `json:"-"`
 	Silent   micros.Span `json:"-"`
+	Soon     bool        `json:"-"` // not usable yet, but it should be before long
 	Idle     micros.Span `json:"-"`
 	Proven   bool        `json:"-"` // nothing of ours can exist on it
 }
@@ -72,16 +73,20 @@
 	Types    []string      `json:"types,omitempty"`
 	Zone     *string       `json:"zone,omitempty"`
 	Spot     bool          `json:"spot,omitempty"`
-	Special  bool          `json:"special,omitempty"` // one zone or spread: the leader checks
-	Estimate micros.Span   `json:"estimate"`
-	Waiting  int           `json:"waiting"`
-	Active   int           `json:"active"`
-	Running  int           `json:"running"`
-	Done     int           `json:"done"`
-	Room     int           `json:"room"` // tasks that the team's limit still allows
-	Age      micros.Span   `json:"age"`
-	Due      micros.Span   `json:"due"` // time left, Forever without a deadline
-	Avoid    []string      `json:"avoid,omitempty"`
+	// OneZone and ZoneMax say what the job demands of zones; InZone counts the tasks
+	// that may exist there.
+	OneZone  bool           `json:"one_zone,omitempty"`
+	ZoneMax  int            `json:"zone_max,omitempty"` // 0: any number
+	InZone   map[string]int `json:"in_zone,omitempty"`
+	Estimate micros.Span    `json:"estimate"`
+	Waiting  int            `json:"waiting"`
+	Active   int            `json:"active"`
+	Running  int            `json:"running"`
+	Done     int            `json:"done"`
+	Room     int            `json:"room"` // tasks that the team's limit still allows
+	Age      micros.Span    `json:"age"`
+	Due      micros.Span    `json:"due"` // time left, Forever without a deadline
+	Avoid    []string       `json:"avoid,omitempty"`
 }
 
 // Finished is a run that a scheduler may learn from.
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -24,6 +24,13 @@
 	case "withdraw": // ID [at MEMBER] => CODE or STATUS
 		w.referee.Asked(f[1])
 		return w.expect(http.MethodPost, f[1], "/"+wire.WordWithdraw, f[2:], want)
+	case "ready": // all controllers can take requests
+		for _, m := range w.members {
+			if err := w.until(10*time.Second, []string{"healthy", m, "yes"}); err != nil {
+				return err
+			}
+		}
+		return w.until(10*time.Second, []string{"leader", "any"})
 	case "wait": // SECONDS
 		time.Sleep(seconds(f[1]))
 	case "until": // SECONDS CONDITION
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"saffronbend/internal/manager"
@@ -96,6 +97,7 @@
 		j := v.Jobs[i]
 		open[j.ID] = true
 		if v.Assign[j.Team] == s.member && j.Waiting > 0 && j.Room > 0 {
+			j.InZone = maps.Clone(j.InZone)
 			s.queue = append(s.queue, &j)
 		} else {
 			delete(s.skipped, j.ID)
@@ -192,7 +194,7 @@
 // round's time is over; the next call goes on from there.
 func (s *Scheduler) Round(now micros.Time, spent func() bool) []manager.Request {
 	var out []manager.Request
-	if s.view == nil || s.view.Version < s.after {
+	if !s.Current() {
 		return nil
 	}
 	for ; s.next < len(s.queue); s.next++ {
@@ -206,6 +208,9 @@
 	return out
 }
 
+// Current tells whether the view shows all that has been granted.
+func (s *Scheduler) Current() bool { return s.view != nil && s.view.Version >= s.after }
+
 // Unfinished tells whether the last round stopped for lack of time.
 func (s *Scheduler) Unfinished() bool { return s.next < len(s.queue) }
 
@@ -223,6 +228,9 @@
 func (s *Scheduler) job(now micros.Time, j *manager.JobView) []manager.Ask {
 	var picked []choice
 	local := 0
+	if j.OneZone && len(j.InZone) == 0 {
+		s.settleZone(j)
+	}
 	for range min(j.Waiting, j.Room, most) {
 		c, ok := s.pick(j)
 		if !ok {
@@ -232,6 +240,9 @@
 			c.m.CPUs -= j.CPUs
 			c.m.GPUs -= j.GPUs
 			c.m.MemoryGB -= j.MemoryGB
+			if j.InZone != nil {
+				j.InZone[c.m.Zone]++
+			}
 		} else {
 			c.m.claimed[c.wait] = true
 		}
@@ -249,6 +260,9 @@
 				c.m.CPUs += j.CPUs
 				c.m.GPUs += j.GPUs
 				c.m.MemoryGB += j.MemoryGB
+				if j.InZone != nil {
+					j.InZone[c.m.Zone]--
+				}
 			} else {
 				delete(c.m.claimed, c.wait)
 			}
@@ -275,6 +289,32 @@
 	return asks
 }
 
+// settleZone chooses the zone of a job that wants all its tasks in one: where most of
+// them find room now.
+func (s *Scheduler) settleZone(j *manager.JobView) {
+	room := map[string]int{}
+	best := ""
+	for _, m := range s.order {
+		if !m.Usable || !s.allows(j, m) {
+			continue
+		}
+		n := j.Waiting
+		for _, x := range []struct{ free, each float64 }{{m.CPUs, j.CPUs}, {m.GPUs, j.GPUs}, {m.MemoryGB, j.MemoryGB}} {
+			if x.each > 0 {
+				n = min(n, int(x.free/x.each+1e-9))
+			}
+		}
+		room[m.Zone] += n
+		if best == "" || room[m.Zone] > room[best] {
+			best = m.Zone
+		}
+	}
+	if best != "" {
+		// Tasks elsewhere are ruled out for this view; the leader checks again.
+		j.InZone = map[string]int{best: 1}
+	}
+}
+
 // skip tells whether a job below the minimum level is passed over. The exception to
 // the design (docs/design.md): it is not, once nothing that the skip waits for can
 // come: no machine with the image has a lease that ends within what is left of it.
@@ -302,6 +342,9 @@
 }
 
 func (s *Scheduler) allows(j *manager.JobView, m *machine) bool {
+	if j.ZoneMax > 0 && j.InZone[m.Zone] >= j.ZoneMax || j.OneZone && len(j.InZone) > 0 && j.InZone[m.Zone] == 0 {
+		return false
+	}
 	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
 	return jb.Allows(&m.typ, m.Zone, m.Spot) && !slices.Contains(j.Avoid, m.ID)
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -123,6 +123,10 @@
 	w.host.net.Remove(w.ip)
 	w.dying.Store(true)
 	w.Resume()
+	select {
+	case w.inbox <- func() {}:
+	default:
+	}
 	<-w.gone
 }
 
--- a/term.go
+++ b/term.go
@@ -132,7 +132,7 @@
 				t.depose("the records can't be used")
 				return 0, false
 			}
-			t.fleet = fleet.New(fleet.Config{Token: t.token, Lease: n.set.Lease(), Report: micros.Seconds(d.Workers.ReportS),
+			t.fleet = fleet.New(now, fleet.Config{Token: t.token, Lease: n.set.Lease(), Report: micros.Seconds(d.Workers.ReportS),
 				ListLag: micros.Seconds(d.Cloud.ListLagS), Tuning: n.set.Tuning})
 			if types := n.Types(); types != nil {
 				t.mgr.SetTypes(types)
