--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -966,6 +966,9 @@
 			}
 			continue
 		}
+		if j := m.jobs[ask.Job]; j != nil && j.rec.Job.Kind == wire.KindGang && !req.All {
+			continue
+		}
 		for range min(ask.Count, wire.MaxTasks) {
 			a := m.grantOne(now, ask)
 			if a == nil {
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -70,7 +70,7 @@
 	jb := &j.rec.Job
 	jv := JobView{ID: jb.ID, Class: jb.Class, Team: jb.Team, Priority: jb.Priority(), CPUs: jb.CPUs, GPUs: jb.GPUs,
 		MemoryGB: jb.MemoryGB, Image: jb.Image, ImageGB: jb.ImageGB, Types: jb.Types, Zone: jb.Zone, Spot: jb.Spot,
-		OneZone: jb.OneZone, Estimate: micros.Seconds(jb.EstimateS), Waiting: j.waiting, Active: len(j.active),
+		OneZone: jb.OneZone, Gang: jb.Kind == wire.KindGang, Estimate: micros.Seconds(jb.EstimateS), Waiting: j.waiting, Active: len(j.active),
 		Done: j.done, Room: m.room(j), Age: now.Sub(j.born), Due: micros.Forever}
 	if now < j.notBefore {
 		jv.Waiting = 0
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -76,6 +76,7 @@
 	// OneZone and ZoneMax say what the job demands of zones; InZone counts the tasks
 	// that may exist there.
 	OneZone  bool           `json:"one_zone,omitempty"`
+	Gang     bool           `json:"gang,omitempty"` // all tasks are placed at once
 	ZoneMax  int            `json:"zone_max,omitempty"` // 0: any number
 	InZone   map[string]int `json:"in_zone,omitempty"`
 	Estimate micros.Span    `json:"estimate"`
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -202,7 +202,7 @@
 			return out
 		}
 		if asks := s.job(now, s.queue[s.next]); len(asks) > 0 {
-			out = append(out, manager.Request{Asks: asks})
+			out = append(out, manager.Request{Asks: asks, All: s.queue[s.next].Gang})
 		}
 	}
 	return out
@@ -233,7 +233,7 @@
 	}
 	for range min(j.Waiting, j.Room, most) {
 		c, ok := s.pick(j)
-		if !ok {
+		if !ok || j.Gang && c.wait != 0 {
 			break
 		}
 		if c.wait == 0 {
@@ -254,7 +254,8 @@
 	if len(picked) == 0 {
 		return nil
 	}
-	if float64(local) < s.tuning.MinLocality*float64(len(picked)) && s.skip(now, j) {
+	partial := j.Gang && (len(picked) < j.Waiting || j.Active > 0)
+	if partial || float64(local) < s.tuning.MinLocality*float64(len(picked)) && s.skip(now, j) {
 		for _, c := range picked {
 			if c.wait == 0 {
 				c.m.CPUs += j.CPUs
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -55,7 +55,7 @@
 			return fmt.Errorf("field %q is invalid", n.field)
 		}
 	}
-	if j.Kind != KindArray {
+	if j.Kind != KindArray && j.Kind != KindGang && j.Kind != KindService {
 		return errors.New(`field "shape" is invalid`)
 	}
 	if _, ok := priorities[j.Urgency]; !ok {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -57,8 +57,13 @@
 	MachineFailed   = "failed"
 )
 
-// KindArray is the only shape of job there is: independent tasks.
-const KindArray = "batch"
+// Shapes of jobs. The protocol's text defines arrays only; the wire names the other
+// two, and docs/questions.md says how they are understood.
+const (
+	KindArray   = "batch"   // independent tasks
+	KindGang    = "group"   // all tasks start together or none
+	KindService = "service" // tasks that run until the job is cancelled
+)
 
 // Priority is a job's urgency, larger is more urgent.
 type Priority int
