--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -79,7 +79,8 @@
 	if e.leading {
 		return e.cfg.Member, e.token
 	}
-	if e.record == nil || e.record.Run == e.cfg.Run {
+	// Under our own name there is only a process of ours that is no more.
+	if e.record == nil || e.record.Member == e.cfg.Member {
 		return "", 0
 	}
 	return e.record.Member, e.version
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -136,9 +136,10 @@
 			why = "failed"
 		case !m.Up && m.State == wire.MachineStarting && m.Age > boot.Scale(f.cfg.Tuning.BootPatience):
 			why = "does not come up"
-		case m.State != wire.MachineStarting && m.Missing && m.Silent > 3*f.cfg.Report+f.cfg.ListLag:
+		case m.State != wire.MachineStarting && m.Missing && m.Silent > 2*f.cfg.Report+micros.Second:
 			why = "taken"
-		case m.State != wire.MachineStarting && m.Silent > f.cfg.Lease+f.cfg.Tuning.SilentReturn:
+		case m.State != wire.MachineStarting && m.Silent > f.cfg.Lease+f.cfg.Tuning.SilentReturn,
+			m.State != wire.MachineStarting && m.Stuck && m.Silent > f.cfg.Lease+f.cfg.Tuning.SilentReturn/2:
 			why = "silent"
 		case m.Up && m.Suspect != "" && m.Proven:
 			why = m.Suspect
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -32,6 +32,7 @@
 	Report  micros.Span
 	Margin  micros.Span // added to a worker lease before it counts as run out
 	Cancel  micros.Span
+	ListLag micros.Span
 	Tuning  settings.Tuning
 	TxnOps  int
 	ValueKB float64
@@ -119,7 +120,7 @@
 	confirmed           bool // has seen our token, so only our answers renew its lease
 	lastReport          micros.Time
 	lastHeard           micros.Time
-	listedAt            micros.Time
+	listed, listedAt    micros.Time // first and last time in a list
 	unlisted            int
 	notice              micros.Time // when it will be taken, 0: no notice
 	draining            bool
@@ -495,6 +496,9 @@
 		if l.Addr != "" {
 			mc.addr = l.Addr
 		}
+		if mc.listed == 0 {
+			mc.listed = now
+		}
 		mc.listedAt = now
 		mc.unlisted = 0
 		// A machine that has just come up is silent from now on, not since it was rented.
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -34,16 +34,23 @@
 	return v
 }
 
+// missing tells whether a machine is no longer listed though it was. A list may be
+// older than the one before, so only machines listed for long enough can be missed.
+func (m *Manager) missing(now micros.Time, mc *machine) bool {
+	return mc.unlisted > 0 && mc.listed != 0 && mc.listedAt.Sub(mc.listed) > 4*m.cfg.ListLag
+}
+
 func (m *Manager) showMachine(now micros.Time, mc *machine) MachineView {
 	mv := MachineView{ID: mc.id, Type: mc.typ, Zone: mc.zone, Spot: mc.spot, Up: mc.up, Usable: m.usable(now, mc),
 		State: mc.state, Failed: mc.state == wire.MachineFailed, Deleting: mc.deleting, Draining: mc.draining,
-		Suspect: mc.suspect, Missing: mc.unlisted >= 3, Age: now.Sub(mc.born), Silent: now.Sub(mc.lastHeard),
+		Suspect: mc.suspect, Missing: m.missing(now, mc), Age: now.Sub(mc.born), Silent: now.Sub(mc.lastHeard),
 		Proven: len(mc.attempts) == 0 && len(mc.strays) == 0}
 	mv.CPUs, mv.GPUs, mv.MemoryGB = m.free(mc)
 	// A machine that has just come up reports twice before it is usable: the second
 	// time it has our token.
 	mv.Soon = mc.spec != nil && mc.notice == 0 && !mc.draining && !mc.deleting && mc.suspect == "" && !mv.Failed &&
 		(mc.state == wire.MachineStarting && !mc.up || !mc.confirmed && mv.Silent < m.cfg.Lease)
+	mv.Stuck = !mc.confirmed && len(mc.attempts) > 0
 	if mv.Proven {
 		mv.Idle = now.Sub(mc.idleSince)
 	}
@@ -171,6 +178,7 @@
 			if vb.CheckpointS > 0 {
 				grace = vb.SaveS + 1
 			}
+			m.note("task makes room for more urgent work", "task", wire.TaskName(vb.ID, v.task), "machine", best, "for", jb.ID)
 			m.stop(now, v, grace)
 			budget--
 		}
@@ -191,8 +199,8 @@
 			loss = now.Sub(a.runSince)
 			if jb.CheckpointS > 0 {
 				loss = micros.Seconds(jb.SaveS)
-			} else if loss > micros.Seconds(jb.EstimateS).Scale(0.3) {
-				continue // most of its work would be lost
+			} else {
+				continue // its work would be lost
 			}
 		}
 		if loss < bestLoss {
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -43,6 +43,7 @@
 	Missing  bool        `json:"-"` // no longer listed though it was
 	Age      micros.Span `json:"-"`
 	Silent   micros.Span `json:"-"`
+	Stuck    bool        `json:"-"` // its tasks can't be proven gone but by its deletion
 	Soon     bool        `json:"-"` // not usable yet, but it should be before long
 	Idle     micros.Span `json:"-"`
 	Proven   bool        `json:"-"` // nothing of ours can exist on it
@@ -76,7 +77,7 @@
 	// OneZone and ZoneMax say what the job demands of zones; InZone counts the tasks
 	// that may exist there.
 	OneZone  bool           `json:"one_zone,omitempty"`
-	Gang     bool           `json:"gang,omitempty"` // all tasks are placed at once
+	Gang     bool           `json:"gang,omitempty"`     // all tasks are placed at once
 	ZoneMax  int            `json:"zone_max,omitempty"` // 0: any number
 	InZone   map[string]int `json:"in_zone,omitempty"`
 	Estimate micros.Span    `json:"estimate"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -264,7 +264,7 @@
 		MaxMachines:  count(o.MaxMachines, 64, 10000, "max_machines"),
 		IdleReturn:   span(o.IdleReturnS, 30, "idle_return_s"),
 		BootPatience: num(o.BootPatience, 3, 1, 100, "boot_patience"),
-		SilentReturn: span(o.SilentReturnS, 1.5*lease, "silent_return_s"),
+		SilentReturn: span(o.SilentReturnS, 3*lease, "silent_return_s"),
 		HireAhead:    span(o.HireAheadS, 10, "hire_ahead_s"),
 	}
 	return errors.Join(errs...)
--- a/term.go
+++ b/term.go
@@ -28,6 +28,7 @@
 	done    chan struct{} // closed when the term is over
 	promise atomic.Int64  // until when something new may be promised
 	answer  atomic.Int64  // until when workers may be answered
+	silent  atomic.Bool   // some machine that was up has fallen silent
 
 	mgr    *manager.Manager
 	fleet  *fleet.Fleet
@@ -124,7 +125,7 @@
 		if err == nil {
 			now := n.clock.Now()
 			t.mgr, err = manager.New(now, manager.Config{Token: t.token, Teams: d.Teams, Lease: n.set.Lease(),
-				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS),
+				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS), ListLag: micros.Seconds(d.Cloud.ListLagS),
 				Tuning: n.set.Tuning, TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB},
 				n.clock.Wall(), open, chunks, json.Unmarshal)
 			if err != nil {
@@ -311,6 +312,10 @@
 			}
 		}
 	}
+	quiet := 2*micros.Seconds(t.n.set.Deployment.Workers.ReportS) + micros.Second
+	t.silent.Store(slices.ContainsFunc(v.Machines, func(m manager.MachineView) bool {
+		return m.State != wire.MachineStarting && !m.Deleting && m.Silent > quiet
+	}))
 	if t.mayPromise(now) {
 		t.manage(ctx, now, v)
 	}
@@ -477,7 +482,8 @@
 
 // watchCloud reads the machine list again and again.
 func (t *term) watchCloud(ctx context.Context) {
-	every := max(2*micros.Second, micros.Seconds(t.n.set.Deployment.Cloud.ListLagS))
+	often := max(micros.Second, micros.Seconds(4/t.n.set.Deployment.Cloud.RPS))
+	seldom := max(often, micros.Seconds(t.n.set.Deployment.Cloud.ListLagS))
 	for {
 		list, err := t.n.cloud.List(ctx)
 		if err == nil {
@@ -485,6 +491,11 @@
 		} else {
 			t.n.log.Debug("the cloud's list can't be read", "err", err)
 		}
+		// A machine that has fallen silent may have been taken: the list tells soonest.
+		every := seldom
+		if t.silent.Load() {
+			every = often
+		}
 		if !sleep(ctx, every) {
 			return
 		}
