Fill spot machines first and return idle ordinary ones sooner

Cause: ordinary machines cost nearly four times a spot machine and stayed for small tasks that had filled them by best fit.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -350,7 +350,11 @@
 		if t == nil || !m.Usable || !m.Proven || needed[m.ID] || short && m.Idle < 2*f.cfg.Tuning.IdleReturn {
 			continue
 		}
-		if m.Idle > f.cfg.Tuning.IdleReturn {
+		limit := f.cfg.Tuning.IdleReturn
+		if !m.Spot && t.SpotPrice < t.Price {
+			limit = limit.Scale(t.SpotPrice / t.Price)
+		}
+		if m.Idle > limit {
 			acts.Return = append(acts.Return, m.ID)
 			acts.Notes = append(acts.Notes, Note{m.ID, "idle"})
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -387,13 +387,13 @@
 	return choice{m: best, cold: bestRank == 2}, true
 }
 
-// better prefers the machine that the task fills more, so that large tasks find room
-// on large machines, and spot machines, so that dearer ones fall idle.
+// better prefers spot machines, so that dearer ones fall idle, and then the machine that
+// the task fills more, so that large tasks find room on large machines.
 func (s *Scheduler) better(a, b *machine) bool {
-	if a.CPUs != b.CPUs {
-		return a.CPUs < b.CPUs
+	if a.Spot != b.Spot {
+		return a.Spot
 	}
-	return a.Spot && !b.Spot
+	return a.CPUs < b.CPUs
 }
 
 // wait finds a lease on a machine with the image that ends before a cold fetch would,
