Judge by estimates which work ends soon; classes with a start aim don't count on it

Cause: rebuilt and first leases count as 100 s, so the fleet saw no room to come and rented too much.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,8 @@
 	Report  micros.Span
 	ListLag micros.Span
 	Tuning  settings.Tuning
+	// Urgent classes have an aim for how soon their tasks start.
+	Urgent map[string]bool
 }
 
 // Actions are what the fleet wants done.
@@ -90,12 +92,21 @@
 	spot            bool
 	cpus, gpus, mem float64
 	used            bool
+	// later is what work that ends before long frees; only patient jobs count on it.
+	later room
 }
 
-func (b *bin) take(j *manager.JobView) bool {
+type room struct{ cpus, gpus, mem float64 }
+
+// take books a task; a patient one may count on room to come.
+func (b *bin) take(j *manager.JobView, patient bool) bool {
 	const slack = 1e-9
+	var later room
+	if patient {
+		later = b.later
+	}
 	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
-	if j.CPUs > b.cpus+slack || j.GPUs > b.gpus+slack || j.MemoryGB > b.mem+slack || !jb.Allows(b.typ, b.zone, b.spot) {
+	if j.CPUs > b.cpus+later.cpus+slack || j.GPUs > b.gpus+later.gpus+slack || j.MemoryGB > b.mem+later.mem+slack || !jb.Allows(b.typ, b.zone, b.spot) {
 		return false
 	}
 	b.cpus, b.gpus, b.mem, b.used = b.cpus-j.CPUs, b.gpus-j.GPUs, b.mem-j.MemoryGB, true
@@ -170,8 +181,10 @@
 		switch {
 		case m.Usable:
 			for _, l := range m.Leases {
-				if l.EndsIn < f.cfg.Tuning.HireAhead && l.EndsIn > -f.cfg.Tuning.Grace {
-					b.cpus, b.gpus, b.mem = b.cpus+l.CPUs, b.gpus+l.GPUs, b.mem+l.MemoryGB
+				if l.Left < f.cfg.Tuning.HireAhead && l.Left > -f.cfg.Tuning.Grace {
+					b.later.cpus += l.CPUs
+					b.later.gpus += l.GPUs
+					b.later.mem += l.MemoryGB
 				}
 			}
 		case !m.Soon:
@@ -221,7 +234,7 @@
 	tasks:
 		for range min(j.Waiting, j.Room, most) {
 			for _, b := range bins {
-				if b.take(j) {
+				if b.take(j, !f.cfg.Urgent[j.Class]) {
 					continue tasks
 				}
 			}
@@ -288,7 +301,7 @@
 tasks:
 	for _, j := range short {
 		for _, b := range bins {
-			if b.take(j) {
+			if b.take(j, false) {
 				continue tasks
 			}
 		}
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -64,6 +64,10 @@
 	for _, a := range sorted(mc.attempts) {
 		jb := &a.job.rec.Job
 		l := LeaseView{Job: jb.ID, Attempt: a.id, CPUs: jb.CPUs, GPUs: jb.GPUs, MemoryGB: jb.MemoryGB, EndsIn: a.leaseEnd.Sub(now)}
+		l.Left = micros.Seconds(jb.EstimateS)
+		if a.runSince != 0 {
+			l.Left -= now.Sub(a.runSince)
+		}
 		// A lease that has run out gets its grace; then its waiter decides again.
 		if now < a.waiterUntil {
 			l.Waiter = a.waiter
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -58,6 +58,8 @@
 	MemoryGB float64     `json:"mem"`
 	EndsIn   micros.Span `json:"ends_in"`
 	Waiter   string      `json:"waiter,omitempty"`
+	// Left is the run time left by the owner's estimate, for the fleet.
+	Left micros.Span `json:"-"`
 }
 
 // JobView is a job with tasks left to place or running.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -277,3 +277,14 @@
 
 // Lease is how long a worker lives without an answer.
 func (s *Settings) Lease() micros.Span { return micros.Seconds(s.Deployment.Workers.LeaseS) }
+
+// Urgent gives the classes that have an aim for how soon their tasks start.
+func (s *Settings) Urgent() map[string]bool {
+	u := map[string]bool{}
+	for _, o := range s.Deployment.Objectives {
+		if o.Kind == "wait" {
+			u[o.Class] = true
+		}
+	}
+	return u
+}
--- a/term.go
+++ b/term.go
@@ -134,7 +134,7 @@
 				return 0, false
 			}
 			t.fleet = fleet.New(now, fleet.Config{Token: t.token, Lease: n.set.Lease(), Report: micros.Seconds(d.Workers.ReportS),
-				ListLag: micros.Seconds(d.Cloud.ListLagS), Tuning: n.set.Tuning})
+				ListLag: micros.Seconds(d.Cloud.ListLagS), Tuning: n.set.Tuning, Urgent: n.set.Urgent()})
 			if types := n.Types(); types != nil {
 				t.mgr.SetTypes(types)
 				t.fleet.SetTypes(types)
