--- /dev/null
+++ b/internal/manager/manager_test.go
@@ -0,0 +1,343 @@
+package manager
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"saffronbend/internal/micros"
+	"saffronbend/internal/settings"
+	"saffronbend/internal/state"
+	"saffronbend/wire"
+)
+
+const (
+	token = 7
+	lease = 10 * micros.Second
+)
+
+// bench drives a Manager by hand, so that orders and reports can cross in any way.
+type bench struct {
+	*testing.T
+	m   *Manager
+	now micros.Time
+	seq uint64
+	rev uint64
+}
+
+func newBench(t *testing.T, open, chunks []wire.Item) *bench {
+	m, err := New(1000, Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}}, Lease: lease,
+		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, ListLag: 3 * micros.Second,
+		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, TxnOps: 8, ValueKB: 4}, 0, open, chunks, json.Unmarshal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.SetTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 16, Zones: []string{"a", "b"}}})
+	return &bench{T: t, m: m, now: 1000, rev: 100}
+}
+
+func record(id string, tasks int, change func(*wire.Job)) state.OpenRecord {
+	j := wire.Job{ID: id, Team: "red", Kind: wire.KindArray, Urgency: "normal", Tasks: tasks, CPUs: 4, MemoryGB: 1, Image: "img", Spot: true}
+	if change != nil {
+		change(&j)
+	}
+	return state.OpenRecord{Job: j, Chunk: 48}
+}
+
+func item(key string, version uint64, v any) wire.Item {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return wire.Item{Key: key, Value: data, Version: version}
+}
+
+func (b *bench) job(id string, tasks int, change func(*wire.Job)) {
+	b.rev++
+	b.m.JobChanged(b.now, 0, record(id, tasks, change), b.rev)
+}
+
+func (b *bench) wait(s micros.Span) { b.now = b.now.Add(s) }
+
+// report has a machine report, with tasks such as "run-1/0 5 running"; the answer's
+// orders come as such words, or "dropped".
+func (b *bench) report(machine string, tok, session uint64, tasks ...string) string {
+	b.seq++
+	return b.reportAs(b.seq, machine, tok, session, tasks...)
+}
+
+func (b *bench) reportAs(seq uint64, machine string, tok, session uint64, tasks ...string) string {
+	r := &wire.Report{Machine: machine, Addr: "10.1.0.1:9000", Type: "small", Zone: machine[len(machine)-1:], Session: session,
+		Seq: seq, Token: tok}
+	for _, s := range tasks {
+		var tr wire.TaskReport
+		_, _ = fmt.Sscan(s, &tr.Task, &tr.Attempt, &tr.State, &tr.Why)
+		r.Tasks = append(r.Tasks, tr)
+	}
+	a, _ := b.m.Report(b.now, r, true)
+	if a == nil {
+		return "dropped"
+	}
+	return orders(a.Commands)
+}
+
+func orders(cmds []wire.Command) string {
+	var out []string
+	for _, c := range cmds {
+		out = append(out, fmt.Sprintf("%s %s %d", c.Op, c.Task, c.Attempt))
+	}
+	return strings.Join(out, "; ")
+}
+
+// up brings machines up with our token.
+func (b *bench) up(machines ...string) {
+	for _, m := range machines {
+		b.report(m, token, 1)
+	}
+}
+
+func (b *bench) grant(job, machine string, n int) int {
+	return b.m.Grant(b.now, Request{Asks: []Ask{{Job: job, Machine: machine, Count: n, Lease: lease}}}).Granted[0]
+}
+
+// write makes durable what is due.
+func (b *bench) write() {
+	for w := b.m.NextWrite(); w != nil; w = b.m.NextWrite() {
+		b.rev++
+		b.m.Written(b.now, w.ID, b.rev)
+	}
+}
+
+func (b *bench) want(got, want any) {
+	b.Helper()
+	if got != want {
+		b.Errorf("got %v, want %v", got, want)
+	}
+}
+
+const first = token<<attemptBits | 1 // the first attempt's number
+
+func TestLaunchOnlyWhenDurable(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+	b.want(b.report("n-1-a", token, 1), "")
+	b.want(len(b.m.Directs(b.now, true)), 0)
+	b.write()
+	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
+}
+
+func TestAttemptsCarryTheToken(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	w := b.m.NextWrite()
+	rec := w.Changes[0].Value.(state.ChunkRecord)
+	b.want(rec.Active[0].Attempt>>attemptBits, uint64(token))
+}
+
+// An earlier leader's attempt is gone only once its worker has our token and does not
+// list it: before, that leader's launch may still arrive.
+func TestEarlierAttemptGoneOnlyUnderOurToken(t *testing.T) {
+	open := []wire.Item{item(state.OpenKey("run-1"), 5, record("run-1", 1, nil))}
+	chunks := []wire.Item{item(state.ChunkKey("run-1", 0), 6,
+		state.ChunkRecord{Active: []state.Placement{{Task: 0, Machine: "n-1-a", Attempt: 99, Session: 1}}})}
+	b := newBench(t, open, chunks)
+	b.up("n-2-a")
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+	b.report("n-1-a", token-1, 1)
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+	b.report("n-1-a", token, 1)
+	b.want(b.grant("run-1", "n-2-a", 1), 1)
+}
+
+// What was launched in the answer to a report may be on its way until a later report,
+// and is then repeated under the same number, not started elsewhere.
+func TestOwnLaunchInFlight(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a", "n-2-a")
+	b.job("run-1", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+	launch := fmt.Sprintf("launch run-1/0 %d", first)
+	b.want(b.report("n-1-a", token, 1), launch)
+	b.want(b.report("n-1-a", token, 1), launch)
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+}
+
+func TestLeaseRunsOutWithMargin(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+	b.report("n-1-a", token, 1)
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first))
+	b.wait(lease + micros.Second/2)
+	b.m.Tick(b.now)
+	b.up("n-2-a")
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+	b.wait(micros.Second)
+	b.m.Tick(b.now)
+	b.up("n-2-a")
+	b.want(b.grant("run-1", "n-2-a", 1), 1)
+	// A report of the dead session that was held back renews nothing.
+	b.want(b.report("n-1-a", token, 1), "dropped")
+}
+
+// Silence of a machine that never had our token proves nothing, however long.
+func TestSilenceUnderAnotherTokenProvesNothing(t *testing.T) {
+	open := []wire.Item{item(state.OpenKey("run-1"), 5, record("run-1", 1, nil))}
+	chunks := []wire.Item{item(state.ChunkKey("run-1", 0), 6,
+		state.ChunkRecord{Active: []state.Placement{{Task: 0, Machine: "n-1-a", Attempt: 99, Session: 1}}})}
+	b := newBench(t, open, chunks)
+	b.report("n-1-a", token-1, 1, "run-1/0 99 running")
+	b.wait(100 * lease)
+	b.m.Tick(b.now)
+	b.up("n-2-a")
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+	b.m.Deleted(b.now, []string{"n-1-a"})
+	b.want(b.grant("run-1", "n-2-a", 1), 1)
+	b.want(b.report("n-1-a", token, 1), "dropped")
+}
+
+func TestLateReportIsDropped(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+	b.reportAs(50, "n-1-a", token, 1)
+	b.reportAs(51, "n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first))
+	b.want(b.reportAs(49, "n-1-a", token, 1), "dropped")
+}
+
+// A direct launch of unknown outcome is repeated, and its attempt is never cleared: the
+// late copy would start it again.
+func TestLostDirectLaunch(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+	d := b.m.Directs(b.now, true)
+	b.want(len(d), 1)
+	b.want(b.report("n-1-a", token, 1), "") // in flight: neither gone nor repeated
+	b.m.DirectDone(b.now, d[0], false, nil)
+	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
+	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended error", first)), "")
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
+
+// The same when the job is cancelled: the late copy must find the attempt known.
+func TestLostDirectLaunchOfCancelledJob(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+	b.m.DirectDone(b.now, b.m.Directs(b.now, true)[0], false, nil)
+	rec := record("run-1", 1, nil)
+	rec.Over = wire.JobCancelled
+	b.rev++
+	b.m.JobChanged(b.now, 0, rec, b.rev)
+	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d; stop run-1/0 %d", first, first))
+	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended halted", first)), "")
+}
+
+func TestDoneIsDurableBeforeClear(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 2, nil)
+	b.grant("run-1", "n-1-a", 2)
+	b.write()
+	b.report("n-1-a", token, 1)
+	ended := fmt.Sprintf("run-1/0 %d ended done", first)
+	running := fmt.Sprintf("run-1/1 %d running", first+1)
+	b.want(b.report("n-1-a", token, 1, ended, running), "")
+	b.write()
+	b.want(b.report("n-1-a", token, 1, ended, running), fmt.Sprintf("clear run-1/0 %d", first))
+}
+
+func TestGrantsKeepThePlacesRules(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a", "n-2-a", "n-3-a", "n-4-b")
+	b.job("run-1", 3, func(j *wire.Job) { j.Spread = true })
+	b.want(b.grant("run-1", "n-1-a", 2), 2)
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+	b.want(b.grant("run-1", "n-4-b", 1), 1)
+	b.job("run-2", 2, func(j *wire.Job) { j.OneZone = true })
+	b.want(b.grant("run-2", "n-2-a", 1), 1)
+	b.want(b.grant("run-2", "n-4-b", 1), 0)
+	zone := "b"
+	b.job("run-3", 1, func(j *wire.Job) { j.Zone = &zone })
+	b.want(b.grant("run-3", "n-3-a", 1), 0)
+	b.job("run-4", 1, func(j *wire.Job) { j.Types = []string{"large"} })
+	b.want(b.grant("run-4", "n-3-a", 1), 0)
+	b.job("run-5", 3, nil)
+	b.want(b.grant("run-5", "n-3-a", 3), 2) // no more room
+}
+
+func TestLimitCountsUnseenAttempts(t *testing.T) {
+	b := newBench(t, nil, nil)
+	var ms []string
+	for i := range 6 {
+		ms = append(ms, fmt.Sprintf("n-%d-a", i))
+	}
+	b.up(ms...)
+	b.job("run-1", 100, nil)
+	sum := 0
+	for _, m := range ms {
+		sum += b.grant("run-1", m, 2)
+	}
+	b.want(sum, 10) // 40 CPUs by 4, none of them launched yet
+}
+
+func TestNoticedMachineGetsNothingAndSaves(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 2, func(j *wire.Job) { j.CheckpointS, j.SaveS = 5, 2 })
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+	b.report("n-1-a", token, 1)
+	running := fmt.Sprintf("run-1/0 %d running", first)
+	b.report("n-1-a", token, 1, running)
+	b.seq++
+	soon := 4.0
+	b.m.Report(b.now, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token, NoticeS: &soon,
+		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}}}, true)
+	b.want(b.grant("run-1", "n-1-a", 1), 0)
+	b.m.Tick(b.now)
+	b.want(b.report("n-1-a", token, 1, running), fmt.Sprintf("stop run-1/0 %d", first))
+}
+
+// A job that fails on three machines is at fault itself: it waits, and the third machine
+// is not blamed.
+func TestFailingJobBacksOff(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a", "n-2-a", "n-3-a")
+	b.job("run-1", 1, nil)
+	for i, m := range []string{"n-1-a", "n-2-a", "n-3-a"} {
+		b.want(b.grant("run-1", m, 1), 1)
+		b.write()
+		b.report(m, token, 1)
+		b.report(m, token, 1, fmt.Sprintf("run-1/0 %d ended error", first+i))
+	}
+	b.want(b.grant("run-1", "n-3-a", 1), 0)
+	b.want(b.m.machines["n-3-a"].suspect, "")
+	b.wait(3 * micros.Second)
+	b.up("n-3-a")
+	b.want(b.grant("run-1", "n-3-a", 1), 1)
+}
+
+func TestRequestIsAtomic(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a", "n-2-a")
+	b.job("run-1", 5, nil)
+	res := b.m.Grant(b.now, Request{All: true, Asks: []Ask{{Job: "run-1", Machine: "n-1-a", Count: 2}, {Job: "run-1", Machine: "n-2-a", Count: 3}}})
+	b.want(res.Granted[0]+res.Granted[1], 0)
+	b.want(b.grant("run-1", "n-1-a", 2), 2)
+}
