--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"saffronbend/internal/micros"
+)
+
+const sound = `member = "one"
+location = "here"
+serve_on = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+novelty = 7
+[[seeds]]
+member = "two"
+location = "there"
+addr = "127.0.0.2:8081"
+[services]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[deployment]
+nodes = 2
+[[deployment.teams]]
+name = "red"
+[deployment.workers]
+report_s = 2.0
+lease_s = 10.0
+cancel_s = 30.0
+[deployment.state]
+rps = 200.0
+write_rps = 50.0
+value_kb = 4.0
+txn_ops = 8
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[deployment.quota]
+core_share = 1.0
+mem_mb = 200.0
+max_connections = 500
+`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(sound), []byte("skip_s: 4 history: 3"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Tuning.Skip != 4*micros.Second || s.Tuning.History != 3 || s.Tuning.MinLocality != 0.5 || s.Share(100) != 50 {
+		t.Errorf("got %+v", s.Tuning)
+	}
+	bad := []struct{ old, new, says string }{
+		{`member = "one"`, ``, "member"},
+		{`"127.0.0.1:8080"`, `"here:80"`, "serve_on"},
+		{`"127.0.0.2:8081"`, `"127.0.0.2"`, "seeds.two"},
+		{`member = "two"`, `member = "one"`, "twice"},
+		{`lease_s = 10.0`, `lease_s = 1.0`, "lease_s"},
+		{`cancel_s = 30.0`, `cancel_s = 9.0`, "cancel_s"},
+		{`rps = 200.0`, `rps = 0.0`, "state.rps"},
+		{`mem_mb = 200.0`, `mem_mb = -1.0`, "quota.mem_mb"},
+		{`max_connections = 500`, `max_connections = 0`, "max_connections"},
+		{`name = "red"`, `name = ""`, "teams"},
+		{`txn_ops = 8`, `txn_ops = 1`, "txn_ops"},
+		{`nodes = 2`, `nodes = `, "line 14"},
+	}
+	for _, b := range bad {
+		text := strings.Replace(sound, b.old, b.new, 1)
+		if _, err := Parse([]byte(text), nil); err == nil || !strings.Contains(err.Error(), b.says) {
+			t.Errorf("%q: error %v does not speak of %s", b.new, err, b.says)
+		}
+	}
+	for _, o := range []string{"mood: 1", "min_locality: 2", "history: 0", "skip_s: -1", "skip_s"} {
+		if _, err := Parse([]byte(sound), []byte(o)); err == nil {
+			t.Errorf("options %q accepted", o)
+		}
+	}
+}
