--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -102,6 +102,8 @@
 	stopSent              micros.Time
 }
 
+func (a *attempt) name() string { return wire.TaskName(a.job.rec.Job.ID, a.task) }
+
 type image struct {
 	gb    float64
 	used  micros.Time
@@ -127,7 +129,7 @@
 	deleting            bool
 	suspect             string
 	fails, wins         int
-	attempts            map[uint64]*attempt
+	attempts            map[string]*attempt // by task
 	strays              map[string]wire.TaskReport
 	// tombs are attempts whose direct launch may yet arrive: never cleared.
 	tombs     map[uint64]bool
@@ -291,7 +293,7 @@
 	a.job.tasks[a.task] = taskActive
 	a.job.waiting--
 	a.job.active[a.task] = a
-	a.machine.attempts[a.id] = a
+	a.machine.attempts[a.name()] = a
 	if t := m.teams[a.job.rec.Job.Team]; t != nil {
 		t.cpus += a.job.rec.Job.CPUs
 		t.gpus += a.job.rec.Job.GPUs
@@ -307,7 +309,7 @@
 		return
 	}
 	delete(j.active, a.task)
-	delete(a.machine.attempts, a.id)
+	delete(a.machine.attempts, a.name())
 	if t := m.teams[j.rec.Job.Team]; t != nil {
 		t.cpus -= j.rec.Job.CPUs
 		t.gpus -= j.rec.Job.GPUs
@@ -364,7 +366,7 @@
 func (m *Manager) machine(now micros.Time, id string) *machine {
 	mc := m.machines[id]
 	if mc == nil {
-		mc = &machine{id: id, born: now, idleSince: now, lastHeard: now, attempts: map[uint64]*attempt{},
+		mc = &machine{id: id, born: now, idleSince: now, lastHeard: now, attempts: map[string]*attempt{},
 			strays: map[string]wire.TaskReport{}, tombs: map[uint64]bool{}, images: map[string]*image{},
 			directOK: true}
 		m.machines[id] = mc
@@ -826,7 +828,7 @@
 		}
 	}
 	for _, a := range sorted(mc.attempts) {
-		name := wire.TaskName(a.job.rec.Job.ID, a.task)
+		name := a.name()
 		if a.session != r.Session || !a.durable {
 			continue
 		}
@@ -880,7 +882,7 @@
 			if a.session != mc.session || !a.durable || len(d.Body.Commands) >= 100 {
 				continue
 			}
-			name := wire.TaskName(a.job.rec.Job.ID, a.task)
+			name := a.name()
 			switch {
 			case a.listed && a.stop && a.stopSent == 0:
 				a.stopSent = now
@@ -908,7 +910,7 @@
 	mc.directOut = false
 	for _, c := range d.Body.Commands {
 		for _, a := range mc.attempts {
-			if a.id != c.Attempt || c.Op != wire.OpStart {
+			if a.id != c.Attempt || a.name() != c.Task || c.Op != wire.OpStart {
 				continue
 			}
 			a.directOut = false
@@ -989,6 +991,12 @@
 			return res
 		}
 	}
+	// The tasks of a gang that start together know one another by their attempt.
+	for _, a := range made {
+		if a.job.rec.Job.Kind == wire.KindGang {
+			a.id = made[0].id
+		}
+	}
 	return res
 }
 
@@ -997,7 +1005,12 @@
 	if mc == nil {
 		return false
 	}
-	a := mc.attempts[ask.Wait]
+	var a *attempt
+	for _, x := range mc.attempts {
+		if x.id == ask.Wait {
+			a = x
+		}
+	}
 	if a == nil || a.waiter != "" && a.waiter != ask.Job && now < a.waiterUntil {
 		return false
 	}
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -341,3 +341,15 @@
 	b.want(res.Granted[0]+res.Granted[1], 0)
 	b.want(b.grant("run-1", "n-1-a", 2), 2)
 }
+
+// The workers of a gang know its tasks by their common attempt.
+func TestGangSharesItsAttempt(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a", "n-2-a")
+	b.job("run-1", 3, func(j *wire.Job) { j.Kind = wire.KindGang })
+	b.want(b.grant("run-1", "n-1-a", 2), 0) // not in parts
+	b.m.Grant(b.now, Request{All: true, Asks: []Ask{{Job: "run-1", Machine: "n-1-a", Count: 2}, {Job: "run-1", Machine: "n-2-a", Count: 1}}})
+	b.write()
+	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d; launch run-1/1 %d", b.m.jobs["run-1"].active[0].id, b.m.jobs["run-1"].active[0].id))
+	b.want(b.m.jobs["run-1"].active[2].id, b.m.jobs["run-1"].active[0].id)
+}
--- a/term.go
+++ b/term.go
@@ -268,6 +268,7 @@
 			res := manager.Result{Granted: make([]int, len(r.Asks))}
 			if t.mayPromise(now) {
 				res = t.mgr.Grant(now, r)
+				t.logGrants(a.Member, r, res)
 			}
 			ans.Results = append(ans.Results, res)
 		}
@@ -279,6 +280,13 @@
 	return ans, nil
 }
 
+func (t *term) logGrants(member string, r manager.Request, res manager.Result) {
+	for i, ask := range r.Asks {
+		t.n.log.Debug("lease request", "by", member, "job", ask.Job, "machine", ask.Machine, "asked", ask.Count,
+			"waits_for", ask.Wait, "granted", res.Granted[i])
+	}
+}
+
 func (t *term) tick(ctx context.Context, now micros.Time) {
 	n := t.n
 	t.mgr.Tick(now)
