--- a/term.go
+++ b/term.go
@@ -50,7 +50,7 @@
 
 const (
 	tickEvery = 500 * micros.Millisecond
-	showEvery = 100 * micros.Millisecond
+	showEvery = 250 * micros.Millisecond
 )
 
 func (t *term) run(ctx context.Context) {
