--- a/cmd/saffronbend/main.go
+++ b/cmd/saffronbend/main.go
@@ -67,6 +67,9 @@
 	}
 	// The process is ended when it holds more memory than its limit; the runtime's
 	// own share and the kernel's buffers come out of the same limit.
+	// Little of it is used, and the processor is dearer: garbage may pile up further
+	// than usual before it is collected.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(set.Deployment.Limits.MemoryMB * 0.7 * (1 << 20)))
 	runtime.GOMAXPROCS(int(math.Ceil(set.Deployment.Limits.CoreShare)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
