--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -27,7 +27,7 @@
 }
 
 func newBench(t *testing.T, open, chunks []wire.Item) *bench {
-	m, err := New(1000, Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}}, Lease: lease,
+	m, err := New(1000, Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUs: 4}}, Lease: lease,
 		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, ListLag: 3 * micros.Second,
 		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, TxnOps: 8, ValueKB: 4}, 0, open, chunks, json.Unmarshal)
 	if err != nil {
@@ -353,3 +353,26 @@
 	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d; launch run-1/1 %d", b.m.jobs["run-1"].active[0].id, b.m.jobs["run-1"].active[0].id))
 	b.want(b.m.jobs["run-1"].active[2].id, b.m.jobs["run-1"].active[0].id)
 }
+
+// A team that has not got its guarantee displaces what another runs beyond its own, of the
+// same priority; beyond the guarantee it does not.
+func TestGuaranteeDisplaces(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 2, func(j *wire.Job) { j.CheckpointS, j.SaveS = 5, 1 })
+	b.grant("run-1", "n-1-a", 2)
+	b.write()
+	b.report("n-1-a", token, 1)
+	red := []string{fmt.Sprintf("run-1/0 %d running", first), fmt.Sprintf("run-1/1 %d running", first+1)}
+	b.report("n-1-a", token, 1, red...)
+	b.job("run-2", 2, func(j *wire.Job) { j.Team = "blue" })
+	b.wait(micros.Second)
+	b.m.Preempt(b.now)
+	b.want(b.report("n-1-a", token, 1, red...), fmt.Sprintf("stop run-1/0 %d", first))
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended halted", first), red[1])
+	b.want(b.grant("run-2", "n-1-a", 1), 1)
+	b.wait(micros.Second)
+	b.m.Preempt(b.now)
+	b.write()
+	b.want(strings.Contains(b.report("n-1-a", token, 1, red[1]), "stop"), false)
+}
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -109,6 +109,9 @@
 	return jv
 }
 
+// space is room on a machine, or a share of room.
+type space struct{ cpus, gpus, mem float64 }
+
 // Preempt stops work of lower priority for jobs that have waited longer than the
 // operators allow and find no room. What is already being stopped counts as room.
 func (m *Manager) Preempt(now micros.Time) {
@@ -116,12 +119,12 @@
 	for _, id := range m.order {
 		j := m.jobs[id]
 		if j.over == "" && j.waiting > 0 && now >= j.notBefore && m.room(j) > 0 &&
-			now.Sub(j.waitSince) > m.cfg.Tuning.PreemptAfter && j.rec.Job.Priority() > 0 {
+			now.Sub(j.waitSince) > m.cfg.Tuning.PreemptAfter && (j.rec.Job.Priority() > 0 || m.guaranteed(j, space{})) {
 			needy = append(needy, j)
 		}
 	}
 	slices.SortStableFunc(needy, func(a, b *job) int { return cmp.Compare(b.rec.Job.Priority(), a.rec.Job.Priority()) })
-	type space struct{ cpus, gpus, mem float64 }
+	promised := map[string]space{}
 	spaces := map[string]*space{}
 	ids := slices.Sorted(maps.Keys(m.machines))
 	for _, id := range ids {
@@ -146,7 +149,11 @@
 			mc := m.machines[id]
 			return jb.Allows(mc.spec, mc.zone, mc.spot) && m.zoneAllows(j, mc.zone) && j.failed[id] == 0
 		}
-		take := func(s *space) { s.cpus, s.gpus, s.mem = s.cpus-jb.CPUs, s.gpus-jb.GPUs, s.mem-jb.MemoryGB }
+		take := func(s *space) {
+			s.cpus, s.gpus, s.mem = s.cpus-jb.CPUs, s.gpus-jb.GPUs, s.mem-jb.MemoryGB
+			p := promised[jb.Team]
+			promised[jb.Team] = space{p.cpus + jb.CPUs, p.gpus + jb.GPUs, p.mem + jb.MemoryGB}
+		}
 	tasks:
 		for range min(j.waiting, m.room(j), 64) {
 			for _, id := range ids {
@@ -164,7 +171,7 @@
 				if s == nil || !allowed(id) {
 					continue
 				}
-				if v, loss := m.victim(now, id, jb.Priority()); v != nil && loss < bestLoss {
+				if v, loss := m.victim(now, id, j, promised[jb.Team]); v != nil && loss < bestLoss {
 					vb := &v.job.rec.Job
 					if fits(&space{s.cpus + vb.CPUs, s.gpus + vb.GPUs, s.mem + vb.MemoryGB}) {
 						best, bestLoss = id, loss
@@ -174,7 +181,7 @@
 			if best == "" {
 				break
 			}
-			v, _ := m.victim(now, best, jb.Priority())
+			v, _ := m.victim(now, best, j, promised[jb.Team])
 			s, vb := spaces[best], v.job.rec.Job
 			s.cpus, s.gpus, s.mem = s.cpus+vb.CPUs, s.gpus+vb.GPUs, s.mem+vb.MemoryGB
 			take(s)
@@ -189,13 +196,32 @@
 	}
 }
 
-// victim is the task of lower priority on a machine that loses least when stopped.
-func (m *Manager) victim(now micros.Time, id string, than wire.Priority) (*attempt, micros.Span) {
+// guaranteed tells whether the team's guarantee covers another task of the job, beside
+// what has been promised to the team in this round.
+func (m *Manager) guaranteed(j *job, promised space) bool {
+	t, jb := m.teams[j.rec.Job.Team], &j.rec.Job
+	return t != nil && t.CPUs+t.GPUs > 0 && t.cpus+promised.cpus+jb.CPUs <= t.CPUs && t.gpus+promised.gpus+jb.GPUs <= t.GPUs
+}
+
+// displaces tells whether a job may displace another's task: one of lower priority, or
+// one that another team runs beyond its own guarantee where the job's team has not
+// got its own.
+func (m *Manager) displaces(j, other *job, promised space) bool {
+	if other.rec.Job.Priority() < j.rec.Job.Priority() {
+		return true
+	}
+	t, ob := m.teams[other.rec.Job.Team], &other.rec.Job
+	return other.rec.Job.Team != j.rec.Job.Team && m.guaranteed(j, promised) && t != nil &&
+		(t.cpus-ob.CPUs >= t.CPUs && ob.CPUs > 0 || t.gpus-ob.GPUs >= t.GPUs && ob.GPUs > 0)
+}
+
+// victim is the task on a machine that a job may displace and that loses least.
+func (m *Manager) victim(now micros.Time, id string, j *job, promised space) (*attempt, micros.Span) {
 	var best *attempt
 	bestLoss := micros.Forever
 	for _, a := range sorted(m.machines[id].attempts) {
 		jb := &a.job.rec.Job
-		if a.stop || jb.Priority() >= than {
+		if a.stop || !m.displaces(j, a.job, promised) {
 			continue
 		}
 		loss := micros.Span(0)
