--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -58,6 +58,8 @@
 	// everywhere backs off instead of starting in a hot loop.
 	failed    map[string]int
 	fails     int
+	runs      int         // tasks done at a usual speed
+	ran       micros.Span // their run times together
 	notBefore micros.Time
 	waitSince micros.Time
 }
@@ -128,7 +130,7 @@
 	draining            bool
 	deleting            bool
 	suspect             string
-	fails, wins         int
+	fails, slow         int
 	attempts            map[string]*attempt // by task
 	strays              map[string]wire.TaskReport
 	// tombs are attempts whose direct launch may yet arrive: never cleared.
@@ -726,9 +728,9 @@
 			j.done++
 			j.failed, j.fails = map[string]int{}, 0
 			if mine && a.runSince != 0 {
+				m.noteSpeed(mc, j, now.Sub(a.runSince))
 				m.finished = append(m.finished, Finished{j.rec.Job.ID, j.rec.Job.Class, j.rec.Job.Team, mc.id, now.Sub(a.runSince)})
 			}
-			mc.wins++
 			mc.fails = 0
 			m.touch(j, n)
 		}
@@ -760,6 +762,23 @@
 	}
 }
 
+// noteSpeed suspects a machine that twice in a row took far longer for a task than the
+// job's other tasks took elsewhere.
+func (m *Manager) noteSpeed(mc *machine, j *job, run micros.Span) {
+	const tooSlow, enough, inARow = 3, 2, 2
+	if j.runs >= enough && run > tooSlow*j.ran/micros.Span(j.runs) {
+		mc.slow++
+	} else {
+		mc.slow = 0
+		j.runs++
+		j.ran += run
+	}
+	if mc.slow >= inARow && mc.suspect == "" {
+		mc.suspect = "runs its tasks far too slowly"
+		m.note("machine under suspicion", "machine", mc.id, "why", mc.suspect)
+	}
+}
+
 // noteFailure blames machine or job. A machine is suspect when tasks of several
 // jobs, or many tasks, fail on it in a row; a job that fails on several machines is
 // at fault itself and backs off.
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -376,3 +376,33 @@
 	b.write()
 	b.want(strings.Contains(b.report("n-1-a", token, 1, red[1]), "stop"), false)
 }
+
+// A machine that is far slower than the others for the same job, twice in a row, gets no
+// more work.
+func TestSlowMachineIsSuspected(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.job("run-1", 6, func(j *wire.Job) { j.CPUs = 8 })
+	next := first
+	run := func(machine string, s micros.Span) {
+		b.up(machine)
+		b.want(b.grant("run-1", machine, 1), 1)
+		b.write()
+		task := fmt.Sprintf("run-1/%d %d ", next-first, next)
+		next++
+		b.report(machine, token, 1)
+		b.report(machine, token, 1, task+"running")
+		b.wait(s)
+		b.report(machine, token, 1, task+"ended done")
+		b.write()
+	}
+	run("n-1-a", 10*micros.Second)
+	run("n-1-a", 10*micros.Second)
+	run("n-2-a", 40*micros.Second)
+	b.want(b.m.machines["n-2-a"].suspect, "")
+	run("n-2-a", 40*micros.Second)
+	b.up("n-2-a")
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+	b.want(b.grant("run-1", "n-1-a", 1), 0) // silent by now
+	b.up("n-1-a")
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
