Remove what nothing calls, and one copy of a library's loop

The fleet never drained a machine, so its action and the flag behind it were dead, as was the election's Unsettle. slices.Sorted(maps.Keys()) stood there three times by hand. No behaviour changes.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -104,7 +104,7 @@
 	case !e.known:
 		return e.read()
 	case e.campaign:
-		return e.advance(now)
+		return e.advance()
 	}
 	return nil
 }
@@ -118,7 +118,7 @@
 }
 
 // advance takes the campaign's next step.
-func (e *Election) advance(micros.Time) []Effect {
+func (e *Election) advance() []Effect {
 	switch {
 	case e.granting || e.claiming:
 		return nil
@@ -153,13 +153,13 @@
 	switch {
 	case rec == nil:
 		e.campaign, e.against = true, 0
-		return e.advance(now)
+		return e.advance()
 	case rec.Member == e.cfg.Member:
 		// A process of ours that is no more, or a claim of ours that was given up and
 		// came through late: nobody leads under it.
 		if !e.claiming {
 			e.campaign, e.against = true, version
-			return e.advance(now)
+			return e.advance()
 		}
 	default:
 		e.campaign = false
@@ -177,7 +177,7 @@
 	}
 	e.forcedAt = now
 	e.campaign, e.against = true, e.version
-	return e.advance(now)
+	return e.advance()
 }
 
 // Granted takes a permit, requested at the given time.
@@ -192,7 +192,7 @@
 	if !e.campaign {
 		return nil
 	}
-	return e.advance(now)
+	return e.advance()
 }
 
 // Claimed takes the outcome of a claim.
@@ -207,7 +207,7 @@
 		return []Effect{{Lead: version}}
 	case NoPermit:
 		e.permit = 0
-		return e.advance(now)
+		return e.advance()
 	}
 	e.campaign = false
 	e.permit = 0
@@ -248,6 +248,3 @@
 	e.known = false
 	return append([]Effect{{Lost: why}}, e.read()...)
 }
-
-// Unsettle says that what is known of the leader's key may be old.
-func (e *Election) Unsettle() { e.known = false }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -29,7 +30,6 @@
 type Actions struct {
 	Hires  []wire.Hire
 	Return []string
-	Drain  []string
 	Notes  []Note
 }
 
@@ -154,8 +154,6 @@
 			why = "silent"
 		case m.Up && m.Suspect != "" && m.Proven:
 			why = m.Suspect
-		case m.Up && m.Draining && m.Proven:
-			why = "drained"
 		}
 		if why != "" {
 			acts.Return = append(acts.Return, m.ID)
@@ -174,7 +172,7 @@
 		}
 		count++
 		t := f.typ(m.Type)
-		if t == nil || m.Draining || m.Suspect != "" {
+		if t == nil || m.Suspect != "" {
 			continue
 		}
 		b := &bin{id: m.ID, typ: t, zone: m.Zone, spot: m.Spot, cpus: m.CPUs, gpus: m.GPUs, mem: m.MemoryGB}
@@ -192,7 +190,7 @@
 		}
 		bins = append(bins, b)
 	}
-	for _, id := range sortedKeys(f.out) {
+	for _, id := range slices.Sorted(maps.Keys(f.out)) {
 		h := f.out[id]
 		count += h.Count
 		if t := f.typ(h.Type); t != nil {
@@ -204,15 +202,6 @@
 	return bins, count
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // shortage places the queued tasks into the room there is and gives those left.
 func (f *Fleet) shortage(v *manager.View, bins []*bin) []*manager.JobView {
 	var jobs []*manager.JobView
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -127,7 +127,6 @@
 	listed, listedAt    micros.Time // first and last time in a list
 	unlisted            int
 	notice              micros.Time // when it will be taken, 0: no notice
-	draining            bool
 	deleting            bool
 	suspect             string
 	fails, slow         int
@@ -557,14 +556,6 @@
 	m.changed = true
 }
 
-// Drain stops new work on a machine.
-func (m *Manager) Drain(id string) {
-	if mc := m.machines[id]; mc != nil {
-		mc.draining = true
-		m.changed = true
-	}
-}
-
 // Tick lets time pass: leases run out, notices come due.
 func (m *Manager) Tick(now micros.Time) {
 	for _, id := range slices.Sorted(maps.Keys(m.machines)) {
@@ -976,7 +967,7 @@
 }
 
 func (m *Manager) usable(now micros.Time, mc *machine) bool {
-	return mc.up && mc.confirmed && mc.spec != nil && mc.notice == 0 && !mc.draining && !mc.deleting &&
+	return mc.up && mc.confirmed && mc.spec != nil && mc.notice == 0 && !mc.deleting &&
 		mc.suspect == "" && now.Sub(mc.lastReport) < min(m.cfg.Lease/2, 2*m.cfg.Report+micros.Second)
 }
 
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -42,13 +42,13 @@
 
 func (m *Manager) showMachine(now micros.Time, mc *machine) MachineView {
 	mv := MachineView{ID: mc.id, Type: mc.typ, Zone: mc.zone, Spot: mc.spot, Up: mc.up, Usable: m.usable(now, mc),
-		State: mc.state, Failed: mc.state == wire.MachineFailed, Deleting: mc.deleting, Draining: mc.draining,
+		State: mc.state, Failed: mc.state == wire.MachineFailed, Deleting: mc.deleting,
 		Suspect: mc.suspect, Missing: m.missing(now, mc), Age: now.Sub(mc.born), Silent: now.Sub(mc.lastHeard),
 		Proven: len(mc.attempts) == 0 && len(mc.strays) == 0}
 	mv.CPUs, mv.GPUs, mv.MemoryGB = m.free(mc)
 	// A machine that has just come up reports twice before it is usable: the second
 	// time it has our token.
-	mv.Soon = mc.spec != nil && mc.notice == 0 && !mc.draining && !mc.deleting && mc.suspect == "" && !mv.Failed &&
+	mv.Soon = mc.spec != nil && mc.notice == 0 && !mc.deleting && mc.suspect == "" && !mv.Failed &&
 		(mc.state == wire.MachineStarting && !mc.up || !mc.confirmed && mv.Silent < m.cfg.Lease)
 	mv.Stuck = !mc.confirmed && len(mc.attempts) > 0
 	if mv.Proven {
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -38,7 +38,6 @@
 	State    string      `json:"-"`
 	Failed   bool        `json:"-"`
 	Deleting bool        `json:"-"`
-	Draining bool        `json:"-"`
 	Suspect  string      `json:"-"`
 	Missing  bool        `json:"-"` // no longer listed though it was
 	Age      micros.Span `json:"-"`
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -144,7 +146,7 @@
 		reply(w, http.StatusOK, wire.MachineTypes{Types: c.types})
 	case "GET /machines":
 		l := wire.MachineList{Machines: []wire.Machine{}}
-		for _, id := range sortedKeys(c.machines) {
+		for _, id := range slices.Sorted(maps.Keys(c.machines)) {
 			m := c.machines[id]
 			if age := time.Since(m.since); age >= c.lag {
 				m.m.AgeS = age.Seconds()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -268,7 +269,7 @@
 	}
 	delete(s.leases, id)
 	s.revision++
-	for _, k := range sortedKeys(s.items) {
+	for _, k := range slices.Sorted(maps.Keys(s.items)) {
 		if s.items[k].Lease == id {
 			s.remove(k)
 		}
@@ -276,15 +277,6 @@
 	s.signal()
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	var keys []string
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func (s *State) watch(w http.ResponseWriter, r *http.Request, ip string) {
 	q := r.URL.Query()
 	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -85,14 +85,14 @@
 // EncodeDone makes a bitmap of done tasks.
 func EncodeDone(n int, done func(i int) bool) string {
 	bits := make([]byte, (n+7)/8)
-	any := false
+	some := false
 	for i := range n {
 		if done(i) {
 			bits[i/8] |= 1 << (i % 8)
-			any = true
+			some = true
 		}
 	}
-	if !any {
+	if !some {
 		return ""
 	}
 	return hex.EncodeToString(bits)
--- a/term.go
+++ b/term.go
@@ -554,9 +554,6 @@
 	for _, note := range acts.Notes {
 		n.log.Info("returning a machine", "machine", note.Machine, "why", note.Why)
 	}
-	for _, id := range acts.Drain {
-		t.mgr.Drain(id)
-	}
 	for _, h := range acts.Hires {
 		n.log.Info("renting machines", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count)
 		n.start(func() { t.hire(ctx, h) })
