--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -109,6 +109,14 @@
 	}
 }
 
+// placed has a job's one task granted on a machine, and durable.
+func (b *bench) placed() {
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+}
+
 func (b *bench) want(got, want any) {
 	b.Helper()
 	if got != want {
@@ -170,10 +178,7 @@
 
 func TestLeaseRunsOutWithMargin(t *testing.T) {
 	b := newBench(t, nil, nil)
-	b.up("n-1-a")
-	b.job("run-1", 1, nil)
-	b.grant("run-1", "n-1-a", 1)
-	b.write()
+	b.placed()
 	b.report("n-1-a", token, 1)
 	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first))
 	b.wait(lease + micros.Second/2)
@@ -206,10 +211,7 @@
 
 func TestLateReportIsDropped(t *testing.T) {
 	b := newBench(t, nil, nil)
-	b.up("n-1-a")
-	b.job("run-1", 1, nil)
-	b.grant("run-1", "n-1-a", 1)
-	b.write()
+	b.placed()
 	b.reportAs(50, "n-1-a", token, 1)
 	b.reportAs(51, "n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first))
 	b.want(b.reportAs(49, "n-1-a", token, 1), "dropped")
@@ -219,10 +221,7 @@
 // late copy would start it again.
 func TestLostDirectLaunch(t *testing.T) {
 	b := newBench(t, nil, nil)
-	b.up("n-1-a")
-	b.job("run-1", 1, nil)
-	b.grant("run-1", "n-1-a", 1)
-	b.write()
+	b.placed()
 	d := b.m.Directs(b.now, true)
 	b.want(len(d), 1)
 	b.want(b.report("n-1-a", token, 1), "") // in flight: neither gone nor repeated
@@ -235,10 +234,7 @@
 // The same when the job is cancelled: the late copy must find the attempt known.
 func TestLostDirectLaunchOfCancelledJob(t *testing.T) {
 	b := newBench(t, nil, nil)
-	b.up("n-1-a")
-	b.job("run-1", 1, nil)
-	b.grant("run-1", "n-1-a", 1)
-	b.write()
+	b.placed()
 	b.m.DirectDone(b.now, b.m.Directs(b.now, true)[0], false, nil)
 	rec := record("run-1", 1, nil)
 	rec.Over = wire.JobCancelled
