--- a/follow.go
+++ b/follow.go
@@ -30,10 +30,16 @@
 	defer c.Close()
 	served, refusals := false, 0
 	for ctx.Err() == nil {
-		err := c.Views(ctx, func(v *manager.View) {
+		var mirror manager.Mirror
+		err := c.Updates(ctx, func(u *manager.Update) bool {
+			v := mirror.Apply(u)
+			if v == nil {
+				return false
+			}
 			served, refusals = true, 0
 			n.show(v)
 			n.placer.offer(v, c.Ask)
+			return true
 		})
 		if ctx.Err() != nil {
 			return
@@ -81,6 +87,12 @@
 	}
 }
 
+// spent tells when the time for a round of decisions is over.
+func spent(budget micros.Span) func() bool {
+	began := time.Now()
+	return func() bool { return time.Since(began) > budget.Duration() }
+}
+
 // newer gives the newer view along with the news of the one it replaces.
 func newer(old, v *manager.View) *manager.View {
 	if old.Token != v.Token || len(old.Finished) == 0 {
@@ -107,9 +119,7 @@
 		}
 		s.View(n.clock.Now(), o.view)
 		for again := true; again; again = s.Unfinished() && s.Current() && len(p.views) == 0 {
-			began := time.Now()
-			budget := n.set.Tuning.RoundBudget.Duration()
-			requests := s.Round(n.clock.Now(), func() bool { return time.Since(began) > budget })
+			requests := s.Round(n.clock.Now(), spent(n.set.Tuning.RoundBudget))
 			// An empty request is a sign of life for the leader.
 			if len(requests) == 0 && n.clock.Now().Sub(asked) < 400*micros.Millisecond {
 				continue
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,31 +86,60 @@
 
 // bin is room on a machine that is there, or will be.
 type bin struct {
-	id              string
-	typ             *wire.MachineType
-	zone            string
-	spot            bool
-	cpus, gpus, mem float64
-	used            bool
+	id   string
+	typ  *wire.MachineType
+	zone string
+	spot bool
+	keep string // the job for which its room is kept
+	room room
+	used bool
 	// later is what work that ends before long frees; only patient jobs count on it.
 	later room
 }
 
 type room struct{ cpus, gpus, mem float64 }
 
-// take books a task; a patient one may count on room to come.
-func (b *bin) take(j *manager.JobView, patient bool) bool {
-	const slack = 1e-9
-	var later room
+func (r *room) add(cpus, gpus, mem float64) {
+	r.cpus, r.gpus, r.mem = r.cpus+cpus, r.gpus+gpus, r.mem+mem
+}
+
+// want is a number of tasks of a job.
+type want struct {
+	*manager.JobView
+	n       int
+	choices int // machine types that the job may use
+}
+
+// take books as many of the wanted tasks as fit and gives their number; patient ones may
+// count on room to come.
+func (b *bin) take(w *want, patient bool) int {
+	if b.keep != "" && b.keep != w.ID {
+		return 0
+	}
+	have := b.room
 	if patient {
-		later = b.later
+		have.add(b.later.cpus, b.later.gpus, b.later.mem)
 	}
-	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
-	if j.CPUs > b.cpus+later.cpus+slack || j.GPUs > b.gpus+later.gpus+slack || j.MemoryGB > b.mem+later.mem+slack || !jb.Allows(b.typ, b.zone, b.spot) {
-		return false
+	n := w.n
+	fit := func(have, each float64) {
+		if each > 0 {
+			n = min(n, int((have+1e-9)/each))
+		}
+	}
+	fit(have.cpus, w.CPUs)
+	fit(have.gpus, w.GPUs)
+	fit(have.mem, w.MemoryGB)
+	if n <= 0 {
+		return 0
+	}
+	jb := wire.Job{CPUs: w.CPUs, GPUs: w.GPUs, MemoryGB: w.MemoryGB, Types: w.Types, Zone: w.Zone, Spot: w.Spot}
+	if !jb.Allows(b.typ, b.zone, b.spot) {
+		return 0
 	}
-	b.cpus, b.gpus, b.mem, b.used = b.cpus-j.CPUs, b.gpus-j.GPUs, b.mem-j.MemoryGB, true
-	return true
+	k := float64(n)
+	b.room.add(-k*w.CPUs, -k*w.GPUs, -k*w.MemoryGB)
+	b.used = true
+	return n
 }
 
 // Handle decides on a view.
@@ -131,28 +160,31 @@
 	return acts
 }
 
-// remove returns machines that are of no use: failed, never up, silent or taken,
+// remove returns machines that are of no use: failed, never up, silent, deaf or taken,
 // faulty and empty.
 func (f *Fleet) remove(v *manager.View, acts *Actions) {
-	for i := range v.Machines {
-		m := &v.Machines[i]
+	for _, m := range v.Machines {
 		why := ""
 		boot := 60 * micros.Second
 		if t := f.typ(m.Type); t != nil {
 			boot = micros.Seconds(t.BootS)
 		}
+		silent := v.Now.Sub(m.Heard)
+		patience := f.cfg.Lease + f.cfg.Tuning.SilentReturn
 		switch {
 		case m.Deleting:
 		case m.Failed:
 			why = "failed"
-		case !m.Up && m.State == wire.MachineStarting && m.Age > boot.Scale(f.cfg.Tuning.BootPatience):
+		case !m.Up && m.State == wire.MachineStarting && v.Now.Sub(m.Born) > boot.Scale(f.cfg.Tuning.BootPatience):
 			why = "does not come up"
-		case m.State != wire.MachineStarting && m.Missing && m.Silent > 2*f.cfg.Report+micros.Second:
+		case m.State != wire.MachineStarting && m.Missing && silent > 2*f.cfg.Report+micros.Second:
 			why = "taken"
-		case m.State != wire.MachineStarting && m.Silent > f.cfg.Lease+f.cfg.Tuning.SilentReturn,
-			m.State != wire.MachineStarting && m.Stuck && m.Silent > f.cfg.Lease+f.cfg.Tuning.SilentReturn/2:
+		case m.State != wire.MachineStarting && silent > patience,
+			m.State != wire.MachineStarting && m.Stuck && silent > f.cfg.Lease+f.cfg.Tuning.SilentReturn/2:
 			why = "silent"
-		case m.Up && m.Suspect != "" && m.Proven:
+		case m.Deaf != 0 && v.Now.Sub(m.Deaf) > f.cfg.Lease+f.cfg.Tuning.SilentReturn/2:
+			why = "does not hear"
+		case m.Up && m.Suspect != "" && m.Proven():
 			why = m.Suspect
 		}
 		if why != "" {
@@ -165,9 +197,12 @@
 // bins collects the room there is, or will be before long; work that ends within
 // the time that queued work can wait makes room too.
 func (f *Fleet) bins(v *manager.View, returned []string) (bins []*bin, count int) {
-	for i := range v.Machines {
-		m := &v.Machines[i]
-		if m.Deleting || m.Failed || slices.Contains(returned, m.ID) {
+	out := map[string]bool{}
+	for _, id := range returned {
+		out[id] = true
+	}
+	for _, m := range v.Machines {
+		if m.Deleting || m.Failed || out[m.ID] {
 			continue
 		}
 		count++
@@ -175,17 +210,17 @@
 		if t == nil || m.Suspect != "" {
 			continue
 		}
-		b := &bin{id: m.ID, typ: t, zone: m.Zone, spot: m.Spot, cpus: m.CPUs, gpus: m.GPUs, mem: m.MemoryGB}
+		b := &bin{id: m.ID, typ: t, zone: m.Zone, spot: m.Spot, keep: m.Keep, room: room{m.CPUs, m.GPUs, m.MemoryGB}}
 		switch {
 		case m.Usable:
-			for _, l := range m.Leases {
-				if l.Left < f.cfg.Tuning.HireAhead && l.Left > -f.cfg.Tuning.Grace {
-					b.later.cpus += l.CPUs
-					b.later.gpus += l.GPUs
-					b.later.mem += l.MemoryGB
+			for _, g := range m.Leases {
+				for _, l := range g.Leases {
+					if left := l.Due.Sub(v.Now); left < f.cfg.Tuning.HireAhead && left > -f.cfg.Tuning.Grace {
+						b.later.add(g.CPUs, g.GPUs, g.MemoryGB)
+					}
 				}
 			}
-		case !m.Soon:
+		case !m.Coming:
 			continue
 		}
 		bins = append(bins, b)
@@ -195,79 +230,106 @@
 		count += h.Count
 		if t := f.typ(h.Type); t != nil {
 			for range h.Count {
-				bins = append(bins, &bin{typ: t, zone: h.Zone, spot: h.Spot, cpus: t.CPUs, gpus: t.GPUs, mem: t.MemoryGB, used: true})
+				bins = append(bins, newBin(t, place{h.Type, h.Zone, h.Spot}))
 			}
 		}
 	}
 	return bins, count
 }
 
-// shortage places the queued tasks into the room there is and gives those left.
-func (f *Fleet) shortage(v *manager.View, bins []*bin) []*manager.JobView {
-	var jobs []*manager.JobView
-	for i := range v.Jobs {
-		if v.Jobs[i].Waiting > 0 && v.Jobs[i].Room > 0 {
-			jobs = append(jobs, &v.Jobs[i])
+func newBin(t *wire.MachineType, p place) *bin {
+	return &bin{typ: t, zone: p.zone, spot: p.spot, room: room{t.CPUs, t.GPUs, t.MemoryGB}}
+}
+
+// shortage places the queued tasks into the room there is and gives those left. Jobs that
+// few types of machines can take choose first, so that the room on those is not counted
+// on by others.
+func (f *Fleet) shortage(v *manager.View, bins []*bin) []*want {
+	var wants []*want
+	for _, j := range v.Jobs {
+		if n := v.Wants(j); n > 0 {
+			wants = append(wants, &want{JobView: j, n: n, choices: f.choices(j)})
 		}
 	}
-	slices.SortStableFunc(jobs, func(a, b *manager.JobView) int {
-		if a.Priority != b.Priority {
-			return cmp.Compare(b.Priority, a.Priority)
-		}
-		return cmp.Compare(b.CPUs, a.CPUs)
+	slices.SortStableFunc(wants, func(a, b *want) int {
+		return cmp.Or(a.choices-b.choices, cmp.Compare(b.Priority, a.Priority), cmp.Compare(b.CPUs, a.CPUs))
 	})
-	slices.SortStableFunc(bins, func(a, b *bin) int { return cmp.Compare(a.cpus, b.cpus) })
-	var short []*manager.JobView
-	const most = 512
-	for _, j := range jobs {
-	tasks:
-		for range min(j.Waiting, j.Room, most) {
-			for _, b := range bins {
-				if b.take(j, !f.cfg.Urgent[j.Class]) {
-					continue tasks
-				}
-			}
-			short = append(short, j)
-			if len(short) >= most {
-				return short
+	slices.SortStableFunc(bins, func(a, b *bin) int {
+		return cmp.Or(cmp.Compare(a.typ.CPUs, b.typ.CPUs), cmp.Compare(a.room.cpus, b.room.cpus))
+	})
+	var short []*want
+	for _, w := range wants {
+		patient := !f.cfg.Urgent[w.Class]
+		for _, b := range bins {
+			if w.n -= b.take(w, patient); w.n == 0 {
+				break
 			}
 		}
+		if w.n > 0 {
+			short = append(short, w)
+		}
 	}
 	return short
 }
 
+// choices is how many types of machines can take a task of the job.
+func (f *Fleet) choices(j *manager.JobView) int {
+	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
+	n := 0
+	for i := range f.types {
+		if slices.ContainsFunc(f.types[i].Zones, func(z string) bool { return jb.Allows(&f.types[i], z, false) }) {
+			n++
+		}
+	}
+	return n
+}
+
 // rent asks for machines for the tasks that are short of room, cheapest first: the
 // price of the machines from now until the tasks should be done.
-func (f *Fleet) rent(now micros.Time, short []*manager.JobView, count int, acts *Actions) {
-	for hires := 0; len(short) > 0 && hires < 4 && count < f.cfg.Tuning.MaxMachines; hires++ {
+func (f *Fleet) rent(now micros.Time, short []*want, count int, acts *Actions) {
+	const steps, perStep, perRequest = 24, 8, 50
+	rents := map[place]int{}
+	var order []place
+	for range steps {
+		left := f.cfg.Tuning.MaxMachines - count
+		if len(short) == 0 || left <= 0 {
+			break
+		}
 		var best place
-		var bestTaken, bestN int
-		bestCost := 0.0
+		var bestRest []*want
+		bestN, bestCost := 0, 0.0
 		for i := range f.types {
 			t := &f.types[i]
 			for _, z := range t.Zones {
 				for _, spot := range []bool{true, false} {
 					p := place{t.Name, z, spot}
-					if now < f.refused[p] || f.asking(p) {
+					room := min(left, perStep, perRequest-rents[p])
+					if now < f.refused[p] || f.asking(p) || room <= 0 {
 						continue
 					}
-					cost, taken, n := f.weigh(t, p, short, f.cfg.Tuning.MaxMachines-count)
-					if taken > 0 && (bestTaken == 0 || cost < bestCost) {
-						best, bestCost, bestTaken, bestN = p, cost, taken, n
+					cost, n, rest := f.weigh(t, p, short, room)
+					if n > 0 && (bestN == 0 || cost < bestCost) {
+						best, bestCost, bestN, bestRest = p, cost, n, rest
 					}
 				}
 			}
 		}
-		if bestTaken == 0 {
-			return
+		if bestN == 0 {
+			break
+		}
+		if rents[best] == 0 {
+			order = append(order, best)
 		}
+		rents[best] += bestN
+		count += bestN
+		short = bestRest
+	}
+	for _, p := range order {
 		f.serial++
 		h := wire.Hire{Request: "r-" + strconv.FormatUint(f.cfg.Token, 10) + "-" + strconv.Itoa(f.serial),
-			Type: best.typ, Zone: best.zone, Spot: best.spot, Count: bestN}
+			Type: p.typ, Zone: p.zone, Spot: p.spot, Count: rents[p]}
 		f.out[h.Request] = h
 		acts.Hires = append(acts.Hires, h)
-		count += h.Count
-		short = f.fill(f.typ(best.typ), best, short, bestN)
 	}
 }
 
@@ -280,61 +342,43 @@
 	return false
 }
 
-// fill places tasks into n new machines and gives those left.
-func (f *Fleet) fill(t *wire.MachineType, p place, short []*manager.JobView, n int) []*manager.JobView {
-	bins := make([]*bin, n)
-	for i := range bins {
-		bins[i] = &bin{typ: t, zone: p.zone, spot: p.spot, cpus: t.CPUs, gpus: t.GPUs, mem: t.MemoryGB}
-	}
-	var left []*manager.JobView
-tasks:
-	for _, j := range short {
-		for _, b := range bins {
-			if b.take(j, false) {
-				continue tasks
+// weigh fills up to most new machines of a place and gives the price for each processor
+// second that they would do, boot included, their number, and what is left to place.
+func (f *Fleet) weigh(t *wire.MachineType, p place, short []*want, most int) (cost float64, n int, rest []*want) {
+	work, longest := 0.0, 0.0
+	rest = short
+	for n < most {
+		b := newBin(t, p)
+		var left []*want
+		for _, w := range rest {
+			got := b.take(w, false)
+			if got == 0 {
+				left = append(left, w)
+				continue
+			}
+			work += float64(got) * w.CPUs * w.Estimate.Seconds()
+			longest = max(longest, w.Estimate.Seconds())
+			if got < w.n {
+				fewer := *w
+				fewer.n -= got
+				left = append(left, &fewer)
 			}
 		}
-		left = append(left, j)
-	}
-	return left
-}
-
-// weigh gives the price for each processor second that a place's machines would do,
-// with the machines' boot time.
-func (f *Fleet) weigh(t *wire.MachineType, p place, short []*manager.JobView, room int) (cost float64, taken, n int) {
-	const perRequest = 4 // several small requests show sooner where capacity ends
-	left := short
-	for n < min(room, perRequest) {
-		rest := f.fill(t, p, left, 1)
-		if len(rest) == len(left) {
+		if !b.used {
 			break
 		}
-		left = rest
 		n++
+		rest = left
 	}
-	taken = len(short) - len(left)
-	if taken == 0 {
-		return 0, 0, 0
-	}
-	work, longest := 0.0, 0.0
-	kept := map[*manager.JobView]int{}
-	for _, j := range left {
-		kept[j]++
-	}
-	for _, j := range short {
-		if kept[j] > 0 {
-			kept[j]--
-			continue
-		}
-		work += j.CPUs * j.Estimate.Seconds()
-		longest = max(longest, j.Estimate.Seconds())
+	if n == 0 {
+		return 0, 0, rest
 	}
 	price := t.Price
 	if p.spot {
 		price = t.SpotPrice
 	}
 	held := max(60, t.BootS+longest+f.cfg.Tuning.IdleReturn.Seconds())
-	return price * float64(n) * held / max(work, 1e-6), taken, n
+	return price * float64(n) * held / max(work, 1e-6), n, rest
 }
 
 // returnIdle returns machines that nothing needs. Ordinary machines go sooner where
@@ -346,17 +390,20 @@
 			needed[b.id] = true
 		}
 	}
-	for i := range v.Machines {
-		m := &v.Machines[i]
+	for _, m := range v.Machines {
+		if !m.Usable || !m.Proven() || needed[m.ID] {
+			continue
+		}
 		t := f.typ(m.Type)
-		if t == nil || !m.Usable || !m.Proven || needed[m.ID] || short && m.Idle < 2*f.cfg.Tuning.IdleReturn {
+		idle := v.Now.Sub(m.Idle)
+		if t == nil || short && idle < 2*f.cfg.Tuning.IdleReturn {
 			continue
 		}
 		limit := f.cfg.Tuning.IdleReturn
 		if !m.Spot && t.SpotPrice < t.Price {
 			limit = limit.Scale(t.SpotPrice / t.Price)
 		}
-		if m.Idle > limit {
+		if idle > limit {
 			acts.Return = append(acts.Return, m.ID)
 			acts.Notes = append(acts.Notes, Note{m.ID, "idle"})
 		}
--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -37,6 +37,7 @@
 	}
 	// The tasks of a gang that start together know one another by their attempt.
 	for _, a := range made {
+		a.job.waitSince = now
 		if a.job.rec.Job.Kind == wire.KindGang {
 			a.id = made[0].id
 		}
@@ -60,13 +61,14 @@
 	}
 	a.waiter = ask.Job
 	a.waiterUntil = max(now, a.leaseEnd).Add(m.cfg.Tuning.Grace)
-	m.changed = true
+	m.touchMachine(mc)
 	return true
 }
 
 func (m *Manager) grantOne(now micros.Time, ask Ask) *attempt {
 	j, mc := m.jobs[ask.Job], m.machines[ask.Machine]
-	if j == nil || mc == nil || j.over != "" || j.waiting == 0 || now < j.notBefore || !m.usable(now, mc) {
+	if j == nil || mc == nil || j.over != "" || j.waiting == 0 || now < j.notBefore || !m.usable(now, mc) ||
+		mc.keep != "" && mc.keep != ask.Job {
 		return nil
 	}
 	jb := &j.rec.Job
@@ -91,7 +93,7 @@
 	a := &attempt{job: j, task: j.cursor, id: m.cfg.Token<<attemptBits | m.next, machine: mc, session: mc.session,
 		ours: true, began: now, leaseEnd: now.Add(ask.Lease)}
 	m.place(a)
-	m.touch(j, a.task)
+	m.touch(now, j, a.task, true)
 	return a
 }
 
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -26,8 +26,8 @@
 	}
 	for _, mc := range m.machines {
 		mc.spec = m.types[mc.typ]
+		m.touchMachine(mc)
 	}
-	m.changed = true
 }
 
 // Hired enters machines that the cloud has rented.
@@ -41,8 +41,8 @@
 			mc.typ, mc.zone, mc.spot, mc.spec = h.Type, h.Zone, h.Spot, m.types[h.Type]
 			mc.state = wire.MachineStarting
 		}
+		m.touchMachine(mc)
 	}
-	m.changed = true
 }
 
 // Listed takes the cloud's list. Absence from it proves nothing.
@@ -75,6 +75,7 @@
 		if mc.state != wire.MachineFailed {
 			mc.state = l.State
 		}
+		m.touchMachine(mc)
 		if l.State == wire.MachineFailed && (mc.up || len(mc.attempts) > 0) {
 			m.note("machine failed", "machine", mc.id, "tasks", len(mc.attempts))
 			m.machineGone(now, mc)
@@ -83,9 +84,9 @@
 	for _, mc := range m.machines {
 		if !seen[mc.id] && mc.listedAt != 0 {
 			mc.unlisted++
+			m.touchMachine(mc)
 		}
 	}
-	m.changed = true
 }
 
 // machineGone drops everything on a machine that provably runs nothing any more.
@@ -95,6 +96,7 @@
 	}
 	clear(mc.strays)
 	mc.up = false
+	m.touchMachine(mc)
 }
 
 // Deleting notes that a deletion is being asked for: the machine takes nothing new.
@@ -102,9 +104,9 @@
 	for _, id := range ids {
 		if mc := m.machines[id]; mc != nil {
 			mc.deleting = true
+			m.touchMachine(mc)
 		}
 	}
-	m.changed = true
 }
 
 // Deleted takes the answer 200 to a deletion: the machines and all on them are gone.
@@ -116,7 +118,6 @@
 		}
 		m.gone[id] = true
 	}
-	m.changed = true
 }
 
 // Tick lets time pass: leases run out, notices come due.
@@ -135,8 +136,14 @@
 		if mc.notice != 0 {
 			m.vacate(now, mc)
 		}
+		if mc.deaf != 0 && mc.up && m.probeDue(now, mc) {
+			m.direct[mc.id] = true
+		}
+		if mc.shownUsable != m.usable(now, mc) {
+			m.touchMachine(mc)
+		}
 	}
-	m.changed = true
+	m.shown.changed = true
 }
 
 // vacate stops what can save its progress before a spot machine is taken. Work that
@@ -178,6 +185,6 @@
 }
 
 func (m *Manager) usable(now micros.Time, mc *machine) bool {
-	return mc.up && mc.confirmed && mc.spec != nil && mc.notice == 0 && !mc.deleting &&
+	return mc.up && mc.confirmed && mc.deaf == 0 && mc.spec != nil && mc.notice == 0 && !mc.deleting &&
 		mc.suspect == "" && now.Sub(mc.lastReport) < min(m.cfg.Lease/2, 2*m.cfg.Report+micros.Second)
 }
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -49,6 +49,7 @@
 	durable int // done and durable
 	active  map[int]*attempt
 	chunks  map[int]*chunk
+	arrival uint64
 	over    string
 	overAt  micros.Time
 	// finalSent guards against a second final write while one is out.
@@ -60,6 +61,7 @@
 	runs      int         // tasks done at a usual speed
 	ran       micros.Span // their run times together
 	notBefore micros.Time
+	// waitSince is since when tasks have waited without one of them being placed.
 	waitSince micros.Time
 }
 
@@ -74,6 +76,8 @@
 type chunk struct {
 	version uint64
 	dirty   bool
+	since   micros.Time // when it became so
+	launch  bool        // a launch waits for its being written
 	out     bool
 }
 
@@ -128,13 +132,18 @@
 	notice              micros.Time // when it will be taken, 0: no notice
 	deleting            bool
 	suspect             string
-	fails, slow         int
-	attempts            map[string]*attempt // by task
-	strays              map[string]wire.TaskReport
+	// deaf is since when nothing shows that the worker hears us, 0 while something does;
+	// reports alone don't.
+	deaf, probed micros.Time
+	keep         string // the job for which its room is kept
+	shownUsable  bool
+	fails, slow  int
+	attempts     map[string]*attempt // by task
+	strays       map[string]wire.TaskReport
 	// tombs are attempts whose direct launch may yet arrive: never cleared.
 	tombs     map[uint64]bool
 	images    map[string]*image
-	idleSince micros.Time
+	idleSince micros.Time // 0: not idle yet in this term
 	directOK  bool
 	directOut bool
 }
@@ -158,10 +167,12 @@
 	cleanup  []string
 	writeOut *batch
 	writeNo  uint64
-	finished []Finished
 	notes    []Note
-	version  uint64
-	changed  bool
+	arrivals uint64
+	// preemptFrom is the job with which displacement goes on.
+	preemptFrom string
+	direct      map[string]bool // machines for which there may be direct orders
+	shown       shown
 }
 
 // Note is news for the operators' log.
@@ -188,7 +199,8 @@
 func New(now micros.Time, cfg Config, wall int64, open []wire.Item, chunks []wire.Item, decode func([]byte, any) error) (*Manager, error) {
 	m := &Manager{cfg: cfg, jobs: map[string]*job{}, removed: map[string]uint64{}, machines: map[string]*machine{},
 		gone: map[string]bool{}, types: map[string]*wire.MachineType{}, assign: map[string]string{},
-		teams: map[string]*team{}, stateOK: true}
+		teams: map[string]*team{}, stateOK: true, direct: map[string]bool{},
+		shown: shown{touched: map[string]bool{}, jobsHit: map[string]bool{}, changed: true}}
 	for _, t := range cfg.Teams {
 		m.teams[t.Name] = &team{Team: t}
 	}
@@ -229,6 +241,8 @@
 		active: map[int]*attempt{}, chunks: map[int]*chunk{}, over: rec.Over, failed: map[string]int{}}
 	age := max(0, micros.Span(wall-rec.Accepted))
 	j.born = now.Add(-age)
+	m.arrivals++
+	j.arrival = m.arrivals
 	j.waitSince = now
 	j.overAt = now
 	if d := rec.Job.DeadlineS; d != nil {
@@ -236,7 +250,7 @@
 	}
 	m.jobs[rec.Job.ID] = j
 	m.order = append(m.order, rec.Job.ID)
-	m.changed = true
+	m.touchJob(j)
 	return j
 }
 
@@ -278,7 +292,8 @@
 		t.cpus += a.job.rec.Job.CPUs
 		t.gpus += a.job.rec.Job.GPUs
 	}
-	m.changed = true
+	m.touchMachine(a.machine)
+	m.touchJob(a.job)
 }
 
 // drop takes an attempt that is gone out of all books; its task waits again unless
@@ -306,10 +321,11 @@
 		a.machine.idleSince = now
 	}
 	if j.over == "" {
-		m.touch(j, a.task)
+		m.touch(now, j, a.task, false)
 	}
 	m.settle(now, j)
-	m.changed = true
+	m.touchMachine(a.machine)
+	m.touchJob(j)
 }
 
 // settle moves a job on when its last task is done, or when it is over and nothing of
@@ -333,13 +349,13 @@
 func (m *Manager) SetAssign(a map[string]string) {
 	if !maps.Equal(a, m.assign) {
 		m.assign = a
-		m.changed = true
+		m.shown.changed = true
 	}
 }
 
 // SetStateOK says whether the state service serves this controller.
 func (m *Manager) SetStateOK(ok bool) {
-	m.changed = m.changed || ok != m.stateOK
+	m.shown.changed = m.shown.changed || ok != m.stateOK
 	m.stateOK = ok
 }
 
@@ -366,7 +382,7 @@
 		m.finals = slices.DeleteFunc(m.finals, func(x string) bool { return x == id })
 		m.stopAll(now, j)
 		m.settle(now, j)
-		m.changed = true
+		m.touchJob(j)
 	}
 }
 
@@ -403,8 +419,8 @@
 	}
 	if !a.stop || grace < a.stopGrace {
 		a.stop, a.stopGrace, a.stopAt, a.stopSent = true, grace, now, 0
+		m.direct[a.machine.id] = true
 	}
-	m.changed = true
 }
 
 // Types gives the types by name.
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -103,7 +103,7 @@
 
 // write makes durable what is due.
 func (b *bench) write() {
-	for w := b.m.NextWrite(); w != nil; w = b.m.NextWrite() {
+	for w := b.m.NextWrite(b.now); w != nil; w = b.m.NextWrite(b.now) {
 		b.rev++
 		b.m.Written(b.now, w.ID, b.rev)
 	}
@@ -142,7 +142,7 @@
 	b.up("n-1-a")
 	b.job("run-1", 1, nil)
 	b.grant("run-1", "n-1-a", 1)
-	w := b.m.NextWrite()
+	w := b.m.NextWrite(b.now)
 	rec := w.Changes[0].Value.(state.ChunkRecord)
 	b.want(rec.Active[0].Attempt>>attemptBits, uint64(token))
 }
@@ -254,6 +254,7 @@
 	ended := fmt.Sprintf("run-1/0 %d ended done", first)
 	running := fmt.Sprintf("run-1/1 %d running", first+1)
 	b.want(b.report("n-1-a", token, 1, ended, running), "")
+	b.wait(gather)
 	b.write()
 	b.want(b.report("n-1-a", token, 1, ended, running), fmt.Sprintf("clear run-1/0 %d", first))
 }
@@ -363,12 +364,12 @@
 	b.report("n-1-a", token, 1, red...)
 	b.job("run-2", 2, func(j *wire.Job) { j.Team = "blue" })
 	b.wait(micros.Second)
-	b.m.Preempt(b.now)
+	b.m.Preempt(b.now, func() bool { return false })
 	b.want(b.report("n-1-a", token, 1, red...), fmt.Sprintf("stop run-1/0 %d", first))
 	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended halted", first), red[1])
 	b.want(b.grant("run-2", "n-1-a", 1), 1)
 	b.wait(micros.Second)
-	b.m.Preempt(b.now)
+	b.m.Preempt(b.now, func() bool { return false })
 	b.write()
 	b.want(strings.Contains(b.report("n-1-a", token, 1, red[1]), "stop"), false)
 }
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -11,7 +11,12 @@
 // orders makes the commands that answer a report.
 func (m *Manager) orders(now micros.Time, mc *machine, r *wire.Report, launch bool) []wire.Command {
 	cmds := []wire.Command{}
+	// An answer's line must stay below 64 KiB; the rest follows with the next report.
+	const mostCommands = 400
 	for _, tr := range r.Tasks {
+		if len(cmds) >= mostCommands {
+			break
+		}
 		id, n, ok := wire.SplitTask(tr.Task)
 		j := m.jobs[id]
 		if tr.State == wire.TaskExited {
@@ -32,6 +37,9 @@
 		if a.session != r.Session || !a.durable {
 			continue
 		}
+		if len(cmds) >= mostCommands {
+			break
+		}
 		switch {
 		case a.listed && a.stop:
 			a.stopSent = now
@@ -49,11 +57,6 @@
 			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id})
 		}
 	}
-	// An answer's line must stay below 64 KiB; the rest follows with the next report.
-	const mostCommands = 400
-	if len(cmds) > mostCommands {
-		cmds = cmds[:mostCommands]
-	}
 	return cmds
 }
 
@@ -68,13 +71,29 @@
 	Body    wire.Direct
 }
 
-// Directs collects direct orders: launches that have become durable, and stops. A
-// machine has one direct order out at a time.
+// Directs collects direct orders: launches that have become durable, stops, and empty
+// orders by which a machine may show that it hears us. A machine has one direct order
+// out at a time. Only machines with news since the last call are looked at.
 func (m *Manager) Directs(now micros.Time, launch bool) []Direct {
+	if len(m.direct) == 0 {
+		return nil
+	}
 	var out []Direct
-	for _, id := range slices.Sorted(maps.Keys(m.machines)) {
+	ids := slices.Sorted(maps.Keys(m.direct))
+	clear(m.direct)
+	for _, id := range ids {
 		mc := m.machines[id]
-		if !mc.up || !mc.confirmed || !mc.directOK || mc.directOut || mc.addr == "" || mc.deleting || len(mc.attempts) == 0 {
+		if mc == nil || !mc.up || mc.directOut || mc.addr == "" || mc.deleting {
+			continue
+		}
+		if mc.deaf != 0 {
+			if m.probeDue(now, mc) {
+				mc.probed, mc.directOut = now, true
+				out = append(out, Direct{Machine: id, Addr: mc.addr, Body: wire.Direct{Token: m.cfg.Token, Session: mc.session, Commands: []wire.Command{}}})
+			}
+			continue
+		}
+		if !mc.confirmed || !mc.directOK || len(mc.attempts) == 0 {
 			continue
 		}
 		d := Direct{Machine: id, Addr: mc.addr, Body: wire.Direct{Token: m.cfg.Token, Session: mc.session}}
@@ -100,6 +119,17 @@
 	return out
 }
 
+// probeDue tells whether it is time to ask a machine whether it hears us. One that does
+// not have our token yet most likely shows it with its next report.
+func (m *Manager) probeDue(now micros.Time, mc *machine) bool {
+	const pause = 3 * micros.Second
+	patience := micros.Span(0)
+	if !mc.confirmed {
+		patience = m.cfg.Report.Scale(1.25) + micros.Second
+	}
+	return now.Sub(mc.deaf) >= patience && (mc.probed == 0 || now.Sub(mc.probed) >= pause)
+}
+
 // DirectDone takes the outcome of a direct order: executed or refused with the
 // worker's report, or unknown when there is none.
 func (m *Manager) DirectDone(now micros.Time, d Direct, executed bool, r *wire.Report) (deposed bool) {
@@ -108,6 +138,7 @@
 		return false
 	}
 	mc.directOut = false
+	m.direct[mc.id] = true
 	for _, c := range d.Body.Commands {
 		for _, a := range mc.attempts {
 			if a.id != c.Attempt || a.name() != c.Task || c.Op != wire.OpStart {
@@ -129,7 +160,11 @@
 		return true
 	}
 	if r.Machine == d.Machine {
-		m.take(now, r)
+		m.take(now, r, false)
+		if executed && mc.session == d.Body.Session {
+			m.heard(mc)
+			m.touchMachine(mc)
+		}
 	}
 	return false
 }
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"saffronbend/internal/micros"
@@ -12,9 +11,27 @@
 // space is room on a machine, or a share of room.
 type space struct{ cpus, gpus, mem float64 }
 
+func (s *space) fits(jb *wire.Job) bool {
+	const slack = 1e-9
+	return jb.CPUs <= s.cpus+slack && jb.GPUs <= s.gpus+slack && jb.MemoryGB <= s.mem+slack
+}
+
+func (s *space) add(jb *wire.Job, n float64) {
+	s.cpus, s.gpus, s.mem = s.cpus+n*jb.CPUs, s.gpus+n*jb.GPUs, s.mem+n*jb.MemoryGB
+}
+
+// yard is a machine as displacement sees it: its room, what is being stopped included,
+// and the tasks on it that may make room.
+type yard struct {
+	mc      *machine
+	room    space
+	victims []*attempt
+}
+
 // Preempt stops work of lower priority for jobs that have waited longer than the
-// operators allow and find no room. What is already being stopped counts as room.
-func (m *Manager) Preempt(now micros.Time) {
+// operators allow and find no room. What is already being stopped counts as room. A round
+// that runs out of time goes on with the next job at the next call.
+func (m *Manager) Preempt(now micros.Time, spent func() bool) {
 	var needy []*job
 	for _, id := range m.order {
 		j := m.jobs[id]
@@ -23,77 +40,118 @@
 			needy = append(needy, j)
 		}
 	}
+	if len(needy) == 0 {
+		return
+	}
 	slices.SortStableFunc(needy, func(a, b *job) int { return cmp.Compare(b.rec.Job.Priority(), a.rec.Job.Priority()) })
+	if i := slices.IndexFunc(needy, func(j *job) bool { return j.rec.Job.ID == m.preemptFrom }); i > 0 {
+		needy = slices.Concat(needy[i:], needy[:i])
+	}
+	m.preemptFrom = ""
+	yards := m.yards(now)
 	promised := map[string]space{}
-	spaces := map[string]*space{}
-	ids := slices.Sorted(maps.Keys(m.machines))
-	for _, id := range ids {
-		mc := m.machines[id]
+	budget := 4
+	for _, j := range needy {
+		if spent() {
+			m.preemptFrom = j.rec.Job.ID
+			return
+		}
+		if budget = m.displace(now, j, yards, promised, budget); budget == 0 {
+			return
+		}
+	}
+}
+
+func (m *Manager) yards(now micros.Time) []*yard {
+	var yards []*yard
+	for _, mc := range m.machines {
 		if !m.usable(now, mc) {
 			continue
 		}
-		s := &space{}
-		s.cpus, s.gpus, s.mem = m.free(mc)
+		y := &yard{mc: mc}
+		y.room.cpus, y.room.gpus, y.room.mem = m.free(mc)
 		for _, a := range mc.attempts {
-			if a.stop {
-				s.cpus, s.gpus, s.mem = s.cpus+a.job.rec.Job.CPUs, s.gpus+a.job.rec.Job.GPUs, s.mem+a.job.rec.Job.MemoryGB
+			jb := &a.job.rec.Job
+			switch {
+			case a.stop:
+				y.room.add(jb, 1)
+			case a.state != wire.TaskRunning || jb.CheckpointS > 0: // else its work would be lost
+				y.victims = append(y.victims, a)
 			}
 		}
-		spaces[id] = s
+		slices.SortFunc(y.victims, func(a, b *attempt) int { return cmp.Or(cmp.Compare(a.id, b.id), a.task-b.task) })
+		yards = append(yards, y)
 	}
-	budget := 4
-	for _, j := range needy {
-		jb := &j.rec.Job
-		fits := func(s *space) bool { return jb.CPUs <= s.cpus && jb.GPUs <= s.gpus && jb.MemoryGB <= s.mem }
-		allowed := func(id string) bool {
-			mc := m.machines[id]
-			return jb.Allows(mc.spec, mc.zone, mc.spot) && m.zoneAllows(j, mc.zone) && j.failed[id] == 0
+	slices.SortFunc(yards, func(a, b *yard) int { return cmp.Compare(a.mc.id, b.mc.id) })
+	return yards
+}
+
+// displace finds room for a job's waiting tasks, and stops others' tasks where there is
+// none; it gives what is left of the budget.
+func (m *Manager) displace(now micros.Time, j *job, yards []*yard, promised map[string]space, budget int) int {
+	jb := &j.rec.Job
+	var mine []*yard
+	for _, y := range yards {
+		if jb.Allows(y.mc.spec, y.mc.zone, y.mc.spot) && m.zoneAllows(j, y.mc.zone) && j.failed[y.mc.id] == 0 &&
+			(y.mc.keep == "" || y.mc.keep == jb.ID) {
+			mine = append(mine, y)
+		}
+	}
+	take := func(y *yard) {
+		y.room.add(jb, -1)
+		p := promised[jb.Team]
+		p.add(jb, 1)
+		promised[jb.Team] = p
+	}
+	next := 0
+	for range min(j.waiting, m.room(j), 64) {
+		for next < len(mine) && !mine[next].room.fits(jb) {
+			next++
 		}
-		take := func(s *space) {
-			s.cpus, s.gpus, s.mem = s.cpus-jb.CPUs, s.gpus-jb.GPUs, s.mem-jb.MemoryGB
-			p := promised[jb.Team]
-			promised[jb.Team] = space{p.cpus + jb.CPUs, p.gpus + jb.GPUs, p.mem + jb.MemoryGB}
+		if next < len(mine) {
+			take(mine[next])
+			continue
 		}
-	tasks:
-		for range min(j.waiting, m.room(j), 64) {
-			for _, id := range ids {
-				if s := spaces[id]; s != nil && allowed(id) && fits(s) {
-					take(s)
-					continue tasks
-				}
-			}
-			if budget == 0 {
-				return
-			}
-			best, bestLoss := "", micros.Forever
-			for _, id := range ids {
-				s := spaces[id]
-				if s == nil || !allowed(id) {
+		var best *yard
+		var victim *attempt
+		least := micros.Forever
+		for _, y := range mine {
+			for _, a := range y.victims {
+				if a.stop || !m.displaces(j, a.job, promised[jb.Team]) {
 					continue
 				}
-				if v, loss := m.victim(now, id, j, promised[jb.Team]); v != nil && loss < bestLoss {
-					vb := &v.job.rec.Job
-					if fits(&space{s.cpus + vb.CPUs, s.gpus + vb.GPUs, s.mem + vb.MemoryGB}) {
-						best, bestLoss = id, loss
-					}
+				after := y.room
+				after.add(&a.job.rec.Job, 1)
+				if loss := loss(a); loss < least && after.fits(jb) {
+					best, victim, least = y, a, loss
 				}
 			}
-			if best == "" {
-				break
-			}
-			v, _ := m.victim(now, best, j, promised[jb.Team])
-			s, vb := spaces[best], v.job.rec.Job
-			s.cpus, s.gpus, s.mem = s.cpus+vb.CPUs, s.gpus+vb.GPUs, s.mem+vb.MemoryGB
-			take(s)
-			grace := 0.0
-			if vb.CheckpointS > 0 {
-				grace = vb.SaveS + 1
-			}
-			m.note("task makes room for more urgent work", "task", wire.TaskName(vb.ID, v.task), "machine", best, "for", jb.ID)
-			m.stop(now, v, grace)
-			budget--
+		}
+		if victim == nil {
+			return budget
+		}
+		vb := &victim.job.rec.Job
+		best.room.add(vb, 1)
+		take(best)
+		grace := 0.0
+		if vb.CheckpointS > 0 {
+			grace = vb.SaveS + 1
+		}
+		m.note("task makes room for more urgent work", "task", victim.name(), "machine", best.mc.id, "for", jb.ID)
+		m.stop(now, victim, grace)
+		if budget--; budget == 0 {
+			return 0
 		}
 	}
+	return budget
+}
+
+// loss is the time that a task loses when it makes room.
+func loss(a *attempt) micros.Span {
+	if a.state != wire.TaskRunning {
+		return 0
+	}
+	return micros.Seconds(a.job.rec.Job.SaveS)
 }
 
 // guaranteed tells whether the team's guarantee covers another task of the job, beside
@@ -114,28 +172,3 @@
 	return other.rec.Job.Team != j.rec.Job.Team && m.guaranteed(j, promised) && t != nil &&
 		(t.cpus-ob.CPUs >= t.CPUs && ob.CPUs > 0 || t.gpus-ob.GPUs >= t.GPUs && ob.GPUs > 0)
 }
-
-// victim is the task on a machine that a job may displace and that loses least.
-func (m *Manager) victim(now micros.Time, id string, j *job, promised space) (*attempt, micros.Span) {
-	var best *attempt
-	bestLoss := micros.Forever
-	for _, a := range sorted(m.machines[id].attempts) {
-		jb := &a.job.rec.Job
-		if a.stop || !m.displaces(j, a.job, promised) {
-			continue
-		}
-		loss := micros.Span(0)
-		if a.state == wire.TaskRunning {
-			loss = now.Sub(a.runSince)
-			if jb.CheckpointS > 0 {
-				loss = micros.Seconds(jb.SaveS)
-			} else {
-				continue // its work would be lost
-			}
-		}
-		if loss < bestLoss {
-			best, bestLoss = a, loss
-		}
-	}
-	return best, bestLoss
-}
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -11,7 +11,13 @@
 	if r.Token > m.cfg.Token {
 		return nil, true
 	}
-	mc := m.take(now, r)
+	if m.machines[r.Machine] == nil && !m.gone[r.Machine] && r.Token != m.cfg.Token {
+		// A machine that we don't know and that has not heard us: it may be new, or this a
+		// late copy from one that was returned under an earlier leader. An answer is all it
+		// gets; if it hears that, its next report has our token.
+		return &wire.ReportAnswer{Token: m.cfg.Token, Commands: []wire.Command{}}, false
+	}
+	mc := m.take(now, r, true)
 	if mc == nil {
 		return nil, false
 	}
@@ -19,8 +25,9 @@
 	return &wire.ReportAnswer{Token: m.cfg.Token, Commands: m.orders(now, mc, r, launch)}, false
 }
 
-// take books a report; nil if it is late or its machine is known to be gone.
-func (m *Manager) take(now micros.Time, r *wire.Report) *machine {
+// take books a report, or the worker's answer to a direct order; nil if it is late or
+// its machine is known to be gone.
+func (m *Manager) take(now micros.Time, r *wire.Report, unasked bool) *machine {
 	if m.gone[r.Machine] {
 		return nil
 	}
@@ -30,6 +37,11 @@
 	if r.Session <= mc.deadSession || r.Session < mc.session || r.Session == mc.session && r.Seq <= mc.seq {
 		return nil
 	}
+	if mc.session != 0 && r.Session > mc.session {
+		// It went without an answer for a whole lease. Whether it hears us again is yet to
+		// be shown.
+		m.unheard(now, mc)
+	}
 	if r.Session > mc.session {
 		for _, a := range sorted(mc.attempts) {
 			if a.session < r.Session {
@@ -42,6 +54,12 @@
 		mc.up = true
 		mc.idleSince = now
 	}
+	switch heard := r.Token == m.cfg.Token; {
+	case heard && !mc.confirmed:
+		m.heard(mc)
+	case !heard:
+		m.unheard(now, mc)
+	}
 	mc.session, mc.seq = r.Session, r.Seq
 	mc.addr, mc.typ, mc.zone, mc.spot = r.Addr, r.Type, r.Zone, r.Spot
 	mc.spec = m.types[mc.typ]
@@ -54,12 +72,25 @@
 		}
 		mc.notice = now.Add(micros.Seconds(*r.NoticeS))
 	}
-	m.merge(now, mc, r)
-	m.changed = true
+	m.merge(now, mc, r, unasked)
+	m.touchMachine(mc)
+	if len(mc.attempts) > 0 || mc.deaf != 0 {
+		m.direct[mc.id] = true
+	}
 	return mc
 }
 
-func (m *Manager) merge(now micros.Time, mc *machine, r *wire.Report) {
+// unheard notes that something shows that a machine may not hear us, though its reports
+// arrive; heard that it does.
+func (m *Manager) unheard(now micros.Time, mc *machine) {
+	if mc.deaf == 0 {
+		mc.deaf = now
+	}
+}
+
+func (m *Manager) heard(mc *machine) { mc.deaf = 0 }
+
+func (m *Manager) merge(now micros.Time, mc *machine, r *wire.Report, unasked bool) {
 	clear(mc.strays)
 	for _, a := range mc.attempts {
 		a.listed = false
@@ -78,24 +109,29 @@
 			m.exited(now, mc, j, n, a, tr)
 			continue
 		}
-		if a == nil && j.over == "" && j.tasks[n] == taskWaiting {
+		if a == nil && j.over == "" && j.tasks[n] == taskWaiting && mc.confirmed {
 			// It runs though the books lack it. To start it elsewhere would be to run it
-			// twice, so it is taken over as it is.
+			// twice, so it is taken over as it is. Only a report from our term shows that it
+			// runs; an older one may be a late copy.
 			a = &attempt{job: j, task: n, id: tr.Attempt, machine: mc, session: r.Session, began: now,
 				leaseEnd: now.Add(m.cfg.Tuning.FirstLease)}
 			m.place(a)
-			m.touch(j, n)
+			m.touch(now, j, n, false)
 		}
 		if a == nil || a.id != tr.Attempt || a.machine != mc {
 			mc.strays[tr.Task] = tr
 			continue
 		}
 		a.listed = true
+		if a.state == "" && a.ours && a.session == r.Session {
+			m.heard(mc) // it has carried out our launch
+		}
 		if a.state != tr.State {
 			a.state = tr.State
 			if tr.State == wire.TaskRunning {
 				a.runSince = now
 			}
+			m.touchJob(j)
 		}
 		m.noteImage(now, mc, &j.rec.Job, tr.State != wire.TaskFetching)
 	}
@@ -109,6 +145,9 @@
 		if a.listed || a.session != r.Session || !mc.confirmed || !a.durable {
 			continue
 		}
+		if unasked && a.ours && a.state == "" && a.sentSeq != 0 && a.sentSeq < r.Seq && !a.directOut {
+			m.unheard(now, mc) // the answer with its launch has not come through
+		}
 		// The worker has our token and does not know the attempt. An earlier leader's
 		// orders are fenced off, so its attempt is gone. Our own may be in flight: in
 		// the answer to this very report, or in a direct order of unknown outcome.
@@ -133,10 +172,12 @@
 			j.failed, j.fails = map[string]int{}, 0
 			if mine && a.runSince != 0 {
 				m.noteSpeed(mc, j, now.Sub(a.runSince))
-				m.finished = append(m.finished, Finished{j.rec.Job.ID, j.rec.Job.Class, j.rec.Job.Team, mc.id, now.Sub(a.runSince)})
+				m.shown.finished = append(m.shown.finished, Finished{Job: j.rec.Job.ID, Class: j.rec.Job.Class, Team: j.rec.Job.Team,
+					Machine: mc.id, Run: now.Sub(a.runSince)})
 			}
 			mc.fails = 0
-			m.touch(j, n)
+			m.touchJob(j)
+			m.touch(now, j, n, false)
 		}
 		m.noteImage(now, mc, &j.rec.Job, true)
 		if mine {
@@ -192,6 +233,7 @@
 	if len(j.failed) >= 3 {
 		wait := micros.Second << min(6, len(j.failed)-2)
 		j.notBefore = now.Add(min(wait, micros.Minute))
+		m.touchJob(j)
 		m.note("job fails on every machine and backs off", "job", j.rec.Job.ID, "for_s", j.notBefore.Sub(now).Seconds())
 		return
 	}
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -31,15 +31,17 @@
 }
 
 // touch marks the chunk of a task for writing.
-func (m *Manager) touch(j *job, task int) {
+func (m *Manager) touch(now micros.Time, j *job, task int, launch bool) {
 	n := task / j.rec.Chunk
 	c := j.chunks[n]
 	if c == nil {
 		c = &chunk{}
 		j.chunks[n] = c
 	}
+	c.launch = c.launch || launch
 	if !c.dirty {
 		c.dirty = true
+		c.since = now
 		m.dirty = append(m.dirty, dirtyChunk{j.rec.Job.ID, n})
 	}
 }
@@ -62,7 +64,7 @@
 }
 
 // NextWrite gives the next transaction, if one is due and none is out.
-func (m *Manager) NextWrite() *Write {
+func (m *Manager) NextWrite(now micros.Time) *Write {
 	if m.writeOut != nil {
 		return nil
 	}
@@ -102,24 +104,7 @@
 			w.Changes = append(w.Changes, Change{Key: state.OpenKey(id), Version: j.version, Value: rec})
 		}
 	}
-	if len(w.Changes) == 0 {
-		rest := m.dirty[:0]
-		for _, d := range m.dirty {
-			j := m.jobs[d.job]
-			if j == nil || j.over != "" || j.finalOut || j.done == len(j.tasks) {
-				if j != nil && j.chunks[d.chunk] != nil {
-					j.chunks[d.chunk].dirty = false
-				}
-				continue
-			}
-			if len(w.Changes) >= maxOps {
-				rest = append(rest, d)
-				continue
-			}
-			w.Changes = append(w.Changes, m.chunkChange(b, j, d, mark))
-		}
-		m.dirty = rest
-	}
+	m.writeChunks(now, b, w, maxOps, mark)
 	for len(m.cleanup) > 0 && len(w.Changes) < maxOps {
 		id := m.cleanup[0]
 		j := m.jobs[id]
@@ -157,9 +142,37 @@
 	return w
 }
 
+// gather is how long progress may wait for more of it in the same chunk. A leader that
+// ends meanwhile loses nothing: workers go on listing what ended until it is cleared.
+const gather = 2 * micros.Second
+
+// writeChunks adds progress to a write: first what launches wait for, then, while no
+// transaction is worth keeping free for them, what has waited long enough.
+func (m *Manager) writeChunks(now micros.Time, b *batch, w *Write, maxOps int, mark string) {
+	for _, launches := range []bool{true, false} {
+		rest := m.dirty[:0]
+		for _, d := range m.dirty {
+			j := m.jobs[d.job]
+			if j == nil || j.over != "" || j.finalOut || j.done == len(j.tasks) {
+				if j != nil && j.chunks[d.chunk] != nil {
+					j.chunks[d.chunk].dirty, j.chunks[d.chunk].launch = false, false
+				}
+				continue
+			}
+			c := j.chunks[d.chunk]
+			if len(w.Changes) >= maxOps || launches != c.launch || !launches && now.Sub(c.since) < gather {
+				rest = append(rest, d)
+				continue
+			}
+			w.Changes = append(w.Changes, m.chunkChange(b, j, d, mark))
+		}
+		m.dirty = rest
+	}
+}
+
 func (m *Manager) chunkChange(b *batch, j *job, d dirtyChunk, mark string) Change {
 	c := j.chunks[d.chunk]
-	c.dirty = false
+	c.dirty, c.launch = false, false
 	b.chunks = append(b.chunks, d)
 	base := d.chunk * j.rec.Chunk
 	size := min(j.rec.Chunk, len(j.tasks)-base)
@@ -194,6 +207,7 @@
 	}
 	for _, a := range b.attempts {
 		a.durable = true
+		m.direct[a.machine.id] = true
 	}
 	for _, d := range b.done {
 		if d.job.tasks[d.task] == taskDone {
@@ -213,6 +227,7 @@
 			j.finalOut = false
 			j.over, j.overAt = wire.JobDone, now
 			j.version = revision
+			m.touchJob(j)
 			if !slices.Contains(b.closed, id) {
 				m.settle(now, j)
 			}
@@ -220,10 +235,11 @@
 	}
 	for _, id := range b.closed {
 		m.removed[id] = revision
+		m.shown.jobsHit[id] = true
 		delete(m.jobs, id)
 		m.order = slices.DeleteFunc(m.order, func(x string) bool { return x == id })
 	}
-	m.changed = true
+	m.shown.changed = true
 }
 
 // WriteConflict takes the outcome of a write that changed nothing because a user has
@@ -237,7 +253,7 @@
 	m.writeOut = nil
 	for _, d := range b.chunks {
 		if j := m.jobs[d.job]; j != nil {
-			m.touch(j, d.chunk*j.rec.Chunk)
+			m.touch(now, j, d.chunk*j.rec.Chunk, true)
 		}
 	}
 	for id, ns := range b.cleaned {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,8 @@
 	"saffronbend/internal/manager"
 )
 
+var errMissed = errors.New("peer: an update was missed")
+
 // ErrNotLeader says that the controller asked does not lead under that token.
 var ErrNotLeader = errors.New("the controller does not lead")
 
@@ -38,8 +40,10 @@
 
 // Leader is what a controller offers to the others.
 type Leader interface {
-	// Subscribe gives the views of a term until ctx ends; nil if there is no such term.
-	Subscribe(ctx context.Context, member string, token uint64) <-chan *manager.View
+	// Subscribe enters a follower of a term until ctx ends; nil if there is no such term.
+	// What it gives waits for a view newer than that of a version, and gives the changes
+	// since; nil when the term is over.
+	Subscribe(ctx context.Context, member string, token uint64) func(since uint64) *manager.Update
 	// Ask serves lease requests.
 	Ask(ctx context.Context, a Asks) (*Answers, error)
 }
@@ -75,16 +79,21 @@
 
 func serveView(w http.ResponseWriter, req *http.Request, leader Leader) {
 	token, _ := strconv.ParseUint(req.URL.Query().Get("token"), 10, 64)
-	views := leader.Subscribe(req.Context(), req.URL.Query().Get("member"), token)
-	if views == nil {
+	next := leader.Subscribe(req.Context(), req.URL.Query().Get("member"), token)
+	if next == nil {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	rc := http.NewResponseController(w)
 	enc := json.NewEncoder(w)
-	for v := range views {
+	for since := uint64(0); ; {
+		u := next(since)
+		if u == nil {
+			return
+		}
+		since = u.Version
 		_ = rc.SetWriteDeadline(time.Now().Add(silence))
-		if enc.Encode(v) != nil || rc.Flush() != nil {
+		if enc.Encode(u) != nil || rc.Flush() != nil {
 			return
 		}
 	}
@@ -124,8 +133,9 @@
 // Close ends the client's connections.
 func (c *Client) Close() { c.tr.CloseIdleConnections() }
 
-// Views follows the leader's view until the stream breaks or ctx ends.
-func (c *Client) Views(ctx context.Context, each func(*manager.View)) error {
+// Updates follows the leader's view until the stream breaks, ctx ends, or an update is
+// not accepted.
+func (c *Client) Updates(ctx context.Context, each func(*manager.Update) bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silence, func() { cancel(errors.New("the stream has fallen silent")) })
@@ -145,15 +155,17 @@
 	}
 	dec := json.NewDecoder(resp.Body)
 	for {
-		v := new(manager.View)
-		if err := dec.Decode(v); err != nil {
+		u := new(manager.Update)
+		if err := dec.Decode(u); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
 			return fmt.Errorf("peer: %w", err)
 		}
 		watchdog.Reset(silence)
-		each(v)
+		if !each(u) {
+			return errMissed
+		}
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -25,14 +25,22 @@
 	rates   map[string]float64 // fetch rate by zone, GB/s
 	view    *manager.View
 	viewAt  micros.Time
-	order   []*machine
-	queue   []*manager.JobView
+	order   []*machine // by name
+	known   map[string]*machine
+	queue   []*queued
 	next    int
 	skipped map[string]micros.Time // since when a job is below the minimum level
 	runs    map[string]*history    // by job
 	after   uint64                 // views below this version do not show our grants
 }
 
+// queued is the scheduler's own copy of what it needs of a job that waits.
+type queued struct {
+	*manager.JobView
+	wants  int
+	inZone map[string]int
+}
+
 type history struct {
 	byMachine map[string][]micros.Span
 	newest    []micros.Span
@@ -40,15 +48,17 @@
 
 // machine is the scheduler's own copy of a machine; the view is shared with others.
 type machine struct {
-	manager.MachineView
-	typ      wire.MachineType
-	claimed  map[uint64]bool // leases whose waiter's place we have taken in this view
-	fetching map[string]bool // images that our grants make it fetch
+	*manager.MachineView
+	typ             *wire.MachineType
+	cpus, gpus, mem float64         // left in this view
+	claimed         map[uint64]bool // leases whose waiter's place we have taken in this view
+	fetching        map[string]bool // images that our grants make it fetch
+	dirty           bool            // differs from the view
 }
 
 // New makes a scheduler for a controller.
 func New(member string, t settings.Tuning) *Scheduler {
-	return &Scheduler{member: member, tuning: t, skipped: map[string]micros.Time{}, runs: map[string]*history{}}
+	return &Scheduler{member: member, tuning: t, known: map[string]*machine{}, skipped: map[string]micros.Time{}, runs: map[string]*history{}}
 }
 
 // SetTypes tells the scheduler what machines there are. The fetch rate of a zone is
@@ -86,19 +96,13 @@
 		from = s.queue[s.next].ID
 	}
 	s.view, s.viewAt = v, now
-	s.order, s.queue, s.next = nil, nil, 0
-	for i := range v.Machines {
-		mv := v.Machines[i]
-		m := &machine{MachineView: mv, typ: s.types[mv.Type], claimed: map[uint64]bool{}, fetching: map[string]bool{}}
-		s.order = append(s.order, m)
-	}
-	open := map[string]bool{}
-	for i := range v.Jobs {
-		j := v.Jobs[i]
+	s.queue, s.next = nil, 0
+	s.takeMachines(v)
+	open := make(map[string]bool, len(v.Jobs))
+	for _, j := range v.Jobs {
 		open[j.ID] = true
-		if v.Assign[j.Team] == s.member && j.Waiting > 0 && j.Room > 0 {
-			j.InZone = maps.Clone(j.InZone)
-			s.queue = append(s.queue, &j)
+		if n := v.Wants(j); v.Assign[j.Team] == s.member && n > 0 {
+			s.queue = append(s.queue, &queued{JobView: j, wants: n, inZone: maps.Clone(j.InZone)})
 		} else {
 			delete(s.skipped, j.ID)
 		}
@@ -113,27 +117,69 @@
 			delete(s.runs, id)
 		}
 	}
-	slices.SortStableFunc(s.queue, func(a, b *manager.JobView) int {
-		if a.Priority != b.Priority {
+	slices.SortStableFunc(s.queue, func(a, b *queued) int {
+		ao, bo := s.overdue(a), s.overdue(b)
+		switch {
+		case ao && bo:
+			return cmp.Compare(a.Since, b.Since)
+		case ao:
+			return -1
+		case bo:
+			return 1
+		case a.Priority != b.Priority:
 			return cmp.Compare(b.Priority, a.Priority)
 		}
 		return cmp.Compare(s.laxity(a), s.laxity(b))
 	})
 	// A round that ran out of time goes on where it stopped.
-	if i := slices.IndexFunc(s.queue, func(j *manager.JobView) bool { return j.ID == from }); i > 0 {
+	if i := slices.IndexFunc(s.queue, func(j *queued) bool { return j.ID == from }); i > 0 {
 		s.queue = slices.Concat(s.queue[i:], s.queue[:i])
 	}
 }
 
+// takeMachines renews the copies of the machines that the view shows otherwise than the
+// last one, and of those that decisions have changed.
+func (s *Scheduler) takeMachines(v *manager.View) {
+	order := make([]*machine, 0, len(v.Machines))
+	for _, mv := range v.Machines {
+		m := s.known[mv.ID]
+		if m == nil {
+			m = &machine{}
+			s.known[mv.ID] = m
+		}
+		if m.MachineView != mv || m.dirty {
+			t, ok := s.types[mv.Type]
+			*m = machine{MachineView: mv, cpus: mv.CPUs, gpus: mv.GPUs, mem: mv.MemoryGB}
+			if ok {
+				m.typ = &t
+			}
+		}
+		order = append(order, m)
+	}
+	if len(s.known) > len(order) {
+		clear(s.known)
+		for _, m := range order {
+			s.known[m.ID] = m
+		}
+	}
+	s.order = order
+}
+
+// overdue tells whether a job has waited so long without one of its tasks being placed
+// that it goes before all others, whatever its priority: a flood of urgent work, or a
+// deadline that can't be kept any more, must not hold it up for ever.
+func (s *Scheduler) overdue(j *queued) bool { return s.view.Now.Sub(j.Since) > s.tuning.KeepAfter }
+
 // laxity orders jobs within a priority: by the time that is left beyond their run.
-// Jobs that can't make it any more come after those that can.
-func (s *Scheduler) laxity(j *manager.JobView) micros.Span {
-	left := j.Due - s.expected(j.ID, "", j.Estimate)
-	if j.Due == micros.Forever {
-		return micros.Forever/2 - j.Age
+// Jobs that can't make it any more come after those that can, the oldest first.
+func (s *Scheduler) laxity(j *queued) micros.Span {
+	age := s.view.Now.Sub(j.Born)
+	if j.Due == 0 {
+		return micros.Forever/2 - age
 	}
+	left := j.Due.Sub(s.view.Now) - s.expected(j.ID, "", j.Estimate)
 	if left < 0 {
-		return micros.Forever/4 + j.Age
+		return micros.Forever/4 - age
 	}
 	return left
 }
@@ -170,7 +216,7 @@
 	return sum / micros.Span(len(list))
 }
 
-func (s *Scheduler) fetchTime(j *manager.JobView, zone string) micros.Span {
+func (s *Scheduler) fetchTime(j *queued, zone string) micros.Span {
 	r := s.rates[zone]
 	if r <= 0 {
 		return 0
@@ -179,7 +225,7 @@
 }
 
 // lease is the design's lease time: fetch, mean run time, slack.
-func (s *Scheduler) lease(j *manager.JobView, m *machine, cold bool) micros.Span {
+func (s *Scheduler) lease(j *queued, m *machine, cold bool) micros.Span {
 	if s.runs[j.ID] == nil {
 		return s.tuning.FirstLease
 	}
@@ -217,109 +263,203 @@
 // most is the largest number of tasks of one job placed in one round.
 const most = 256
 
+// choice is a number of tasks on one machine, or the place of a lease's waiter.
 type choice struct {
 	m     *machine
+	count int
 	wait  uint64
+	held  bool // we have the waiter's place already
 	local bool
 	cold  bool
 }
 
-// job decides on one job's waiting tasks.
-func (s *Scheduler) job(now micros.Time, j *manager.JobView) []manager.Ask {
-	var picked []choice
-	local := 0
-	if j.OneZone && len(j.InZone) == 0 {
+// job decides on one job's waiting tasks: first free machines with the image; then, for
+// each task, the place after a lease on one that ends before a cold fetch would, or a
+// free machine that must fetch.
+func (s *Scheduler) job(now micros.Time, j *queued) []manager.Ask {
+	if j.OneZone && len(j.inZone) == 0 {
 		s.settleZone(j)
 	}
-	for range min(j.Waiting, j.Room, most) {
-		c, ok := s.pick(j)
-		if !ok || j.Gang && c.wait != 0 {
+	free := s.candidates(j)
+	if len(free) == 0 {
+		return nil // nothing to weigh: the tasks stay in the queue
+	}
+	var picked []choice
+	placed, local := 0, 0
+	wants := min(j.wants, most)
+	var waits []choice
+	weighed := false
+	for _, c := range free {
+		if placed == wants {
 			break
 		}
-		if c.wait == 0 {
-			c.m.CPUs -= j.CPUs
-			c.m.GPUs -= j.GPUs
-			c.m.MemoryGB -= j.MemoryGB
-			if j.InZone != nil {
-				j.InZone[c.m.Zone]++
+		if !c.local && !weighed {
+			weighed = true
+			if !j.Gang {
+				waits = s.waits(j, c.m)
+			}
+			for _, w := range waits[:min(len(waits), wants-placed)] {
+				picked = append(picked, w)
+				placed++
+				local++
 			}
-		} else {
-			c.m.claimed[c.wait] = true
 		}
+		n := min(wants-placed, s.room(j, c.m))
+		if n <= 0 {
+			continue
+		}
+		c.count = n
+		placed += n
 		if c.local {
-			local++
+			local += n
 		}
 		picked = append(picked, c)
+		s.book(j, c, 1)
 	}
 	if len(picked) == 0 {
 		return nil
 	}
-	partial := j.Gang && (len(picked) < j.Waiting || j.Active > 0)
-	if partial || float64(local) < s.tuning.MinLocality*float64(len(picked)) && s.skip(now, j) {
+	partial := j.Gang && (placed < j.Waiting || j.Active > 0)
+	if partial || float64(local) < s.tuning.MinLocality*float64(placed) && s.skip(now, j) {
 		for _, c := range picked {
-			if c.wait == 0 {
-				c.m.CPUs += j.CPUs
-				c.m.GPUs += j.GPUs
-				c.m.MemoryGB += j.MemoryGB
-				if j.InZone != nil {
-					j.InZone[c.m.Zone]--
-				}
-			} else {
-				delete(c.m.claimed, c.wait)
-			}
+			s.book(j, c, -1)
 		}
 		return nil
 	}
 	delete(s.skipped, j.ID)
 	var asks []manager.Ask
 	for _, c := range picked {
-		if c.cold {
-			c.m.fetching[j.Image] = true
-		}
+		c.m.dirty = true
 		if c.wait != 0 {
+			if c.m.claimed == nil {
+				c.m.claimed = map[uint64]bool{}
+			}
+			c.m.claimed[c.wait] = true
+			if c.held {
+				continue
+			}
 			asks = append(asks, manager.Ask{Job: j.ID, Machine: c.m.ID, Wait: c.wait})
 			continue
 		}
-		j.Waiting--
-		if n := len(asks); n > 0 && asks[n-1].Machine == c.m.ID && asks[n-1].Wait == 0 {
-			asks[n-1].Count++
-			continue
+		if c.cold {
+			if c.m.fetching == nil {
+				c.m.fetching = map[string]bool{}
+			}
+			c.m.fetching[j.Image] = true
 		}
-		asks = append(asks, manager.Ask{Job: j.ID, Machine: c.m.ID, Count: 1, Lease: s.lease(j, c.m, c.cold)})
+		j.wants -= c.count
+		asks = append(asks, manager.Ask{Job: j.ID, Machine: c.m.ID, Count: c.count, Lease: s.lease(j, c.m, c.cold)})
 	}
 	return asks
 }
 
+// book enters a choice into the copies of this view, or takes it out again.
+func (s *Scheduler) book(j *queued, c choice, sign int) {
+	if c.wait != 0 {
+		return
+	}
+	n := float64(sign * c.count)
+	c.m.dirty = true
+	c.m.cpus, c.m.gpus, c.m.mem = c.m.cpus-n*j.CPUs, c.m.gpus-n*j.GPUs, c.m.mem-n*j.MemoryGB
+	if j.inZone != nil {
+		j.inZone[c.m.Zone] += sign * c.count
+	}
+}
+
+const slack = 1e-9
+
+// room is how many tasks of the job a machine takes now.
+func (s *Scheduler) room(j *queued, m *machine) int {
+	if !s.zoneAllows(j, m.Zone) {
+		return 0
+	}
+	n := most
+	if j.ZoneMax > 0 {
+		n = j.ZoneMax - j.inZone[m.Zone]
+	}
+	fit := func(free, each float64) {
+		if each > 0 {
+			n = min(n, int((free+slack)/each))
+		}
+	}
+	fit(m.cpus, j.CPUs)
+	fit(m.gpus, j.GPUs)
+	fit(m.mem, j.MemoryGB)
+	return n
+}
+
+// candidates gives the machines that have room for the job, the best first: with the
+// image, then fetching it, then others.
+func (s *Scheduler) candidates(j *queued) []choice {
+	var out []choice
+	ranks := map[*machine]int{}
+	for _, m := range s.order {
+		if !m.Usable || j.CPUs > m.cpus+slack || j.GPUs > m.gpus+slack || j.MemoryGB > m.mem+slack || !s.allows(j, m) {
+			continue
+		}
+		c := choice{m: m, local: slices.Contains(m.Images, j.Image)}
+		if !c.local {
+			c.cold = !m.fetching[j.Image] && !slices.Contains(m.Fetching, j.Image)
+			ranks[m] = 1
+			if c.cold {
+				ranks[m] = 2
+			}
+		}
+		out = append(out, c)
+	}
+	slices.SortStableFunc(out, func(a, b choice) int {
+		if a.m.Keep != b.m.Keep {
+			// Room kept for this very job first: others can't use it.
+			if a.m.Keep == j.ID {
+				return -1
+			} else if b.m.Keep == j.ID {
+				return 1
+			}
+		}
+		if c := ranks[a.m] - ranks[b.m]; c != 0 {
+			return c
+		}
+		return better(a.m, b.m)
+	})
+	return out
+}
+
+// better prefers spot machines, so that dearer ones fall idle, and then the machine that
+// the task fills more, so that large tasks find room on large machines.
+func better(a, b *machine) int {
+	if a.Spot != b.Spot {
+		if a.Spot {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.cpus, b.cpus)
+}
+
 // settleZone chooses the zone of a job that wants all its tasks in one: where most of
 // them find room now.
-func (s *Scheduler) settleZone(j *manager.JobView) {
+func (s *Scheduler) settleZone(j *queued) {
 	room := map[string]int{}
 	best := ""
 	for _, m := range s.order {
 		if !m.Usable || !s.allows(j, m) {
 			continue
 		}
-		n := j.Waiting
-		for _, x := range []struct{ free, each float64 }{{m.CPUs, j.CPUs}, {m.GPUs, j.GPUs}, {m.MemoryGB, j.MemoryGB}} {
-			if x.each > 0 {
-				n = min(n, int(x.free/x.each+1e-9))
-			}
-		}
-		room[m.Zone] += n
+		room[m.Zone] += min(j.wants, s.room(j, m))
 		if best == "" || room[m.Zone] > room[best] {
 			best = m.Zone
 		}
 	}
 	if best != "" {
 		// Tasks elsewhere are ruled out for this view; the leader checks again.
-		j.InZone = map[string]int{best: 1}
+		j.inZone = map[string]int{best: 1}
 	}
 }
 
 // skip tells whether a job below the minimum level is passed over. The exception to
 // the design (docs/design.md): it is not, once nothing that the skip waits for can
 // come: no machine with the image has a lease that ends within what is left of it.
-func (s *Scheduler) skip(now micros.Time, j *manager.JobView) bool {
+func (s *Scheduler) skip(now micros.Time, j *queued) bool {
 	since, ok := s.skipped[j.ID]
 	if !ok {
 		since = now
@@ -333,88 +473,60 @@
 		if !m.Usable || !slices.Contains(m.Images, j.Image) || !s.allows(j, m) {
 			continue
 		}
-		for _, l := range m.Leases {
-			if l.EndsIn <= left && l.EndsIn > -s.tuning.Grace && s.fitsAfter(j, m, l) {
-				return true
+		for _, g := range m.Leases {
+			for _, l := range g.Leases {
+				if ends := l.Ends.Sub(s.view.Now); ends <= left && ends > -s.tuning.Grace && fitsAfter(j, m, g) {
+					return true
+				}
 			}
 		}
 	}
 	return false
 }
 
-func (s *Scheduler) allows(j *manager.JobView, m *machine) bool {
-	if j.ZoneMax > 0 && j.InZone[m.Zone] >= j.ZoneMax || j.OneZone && len(j.InZone) > 0 && j.InZone[m.Zone] == 0 {
-		return false
-	}
-	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
-	return jb.Allows(&m.typ, m.Zone, m.Spot) && !slices.Contains(j.Avoid, m.ID)
+func (s *Scheduler) zoneAllows(j *queued, zone string) bool {
+	return !(j.ZoneMax > 0 && j.inZone[zone] >= j.ZoneMax || j.OneZone && len(j.inZone) > 0 && j.inZone[zone] == 0)
 }
 
-func (s *Scheduler) fitsAfter(j *manager.JobView, m *machine, l manager.LeaseView) bool {
-	return j.CPUs <= m.CPUs+l.CPUs && j.GPUs <= m.GPUs+l.GPUs && j.MemoryGB <= m.MemoryGB+l.MemoryGB
-}
-
-// pick chooses where the job's next task goes: a free machine with the image; the
-// place after a lease on one that ends before a cold fetch would; a free machine
-// that must fetch.
-func (s *Scheduler) pick(j *manager.JobView) (choice, bool) {
-	var best *machine
-	bestRank := 0
-	const slack = 1e-9
-	for _, m := range s.order {
-		if !m.Usable || j.CPUs > m.CPUs+slack || j.GPUs > m.GPUs+slack || j.MemoryGB > m.MemoryGB+slack || !s.allows(j, m) {
-			continue
-		}
-		rank := 2
-		if slices.Contains(m.Images, j.Image) {
-			rank = 0
-		} else if m.fetching[j.Image] || slices.Contains(m.Fetching, j.Image) {
-			rank = 1
-		}
-		if best == nil || rank < bestRank || rank == bestRank && s.better(m, best) {
-			best, bestRank = m, rank
-		}
-	}
-	if best != nil && bestRank == 0 {
-		return choice{m: best, local: true}, true
-	}
-	if c, ok := s.wait(j, best); ok {
-		return c, true
-	}
-	if best == nil {
-		return choice{}, false
+func (s *Scheduler) allows(j *queued, m *machine) bool {
+	if m.typ == nil || m.Keep != "" && m.Keep != j.ID || !s.zoneAllows(j, m.Zone) {
+		return false
 	}
-	return choice{m: best, cold: bestRank == 2}, true
+	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
+	return jb.Allows(m.typ, m.Zone, m.Spot) && !slices.Contains(j.Avoid, m.ID)
 }
 
-// better prefers spot machines, so that dearer ones fall idle, and then the machine that
-// the task fills more, so that large tasks find room on large machines.
-func (s *Scheduler) better(a, b *machine) bool {
-	if a.Spot != b.Spot {
-		return a.Spot
-	}
-	return a.CPUs < b.CPUs
+func fitsAfter(j *queued, m *machine, l manager.LeaseGroup) bool {
+	return j.CPUs <= m.cpus+l.CPUs+slack && j.GPUs <= m.gpus+l.GPUs+slack && j.MemoryGB <= m.mem+l.MemoryGB+slack
 }
 
-// wait finds a lease on a machine with the image that ends before a cold fetch would,
-// and has no other waiter.
-func (s *Scheduler) wait(j *manager.JobView, cold *machine) (choice, bool) {
-	if cold == nil {
-		return choice{}, false // nothing to weigh: the task stays in the queue
-	}
+// waits gives the leases on machines with the image that end before a cold fetch on the
+// given machine would, and have no other waiter; those that end first come first.
+func (s *Scheduler) waits(j *queued, cold *machine) []choice {
 	limit := s.fetchTime(j, cold.Zone)
-	var best choice
-	var bestEnd micros.Span
+	type wait struct {
+		choice
+		ends micros.Time
+	}
+	var found []wait
 	for _, m := range s.order {
-		if !m.Usable || !slices.Contains(m.Images, j.Image) || !s.allows(j, m) {
+		if !m.Usable || len(m.Leases) == 0 || !slices.Contains(m.Images, j.Image) || !s.allows(j, m) {
 			continue
 		}
-		for _, l := range m.Leases {
-			if l.EndsIn > 0 && l.EndsIn < limit && (l.Waiter == "" || l.Waiter == j.ID) && !m.claimed[l.Attempt] &&
-				s.fitsAfter(j, m, l) && (best.m == nil || l.EndsIn < bestEnd) {
-				best, bestEnd = choice{m: m, wait: l.Attempt, local: true}, l.EndsIn
+		for _, g := range m.Leases {
+			for _, l := range g.Leases {
+				ends := l.Ends.Sub(s.view.Now)
+				taken := l.Waiter != "" && l.Waiter != j.ID && s.view.Now < l.Until
+				if ends > 0 && ends < limit && !taken && !m.claimed[l.Attempt] && fitsAfter(j, m, g) {
+					found = append(found, wait{choice{m: m, wait: l.Attempt, held: l.Waiter == j.ID && s.view.Now < l.Until, local: true}, l.Ends})
+				}
 			}
 		}
 	}
-	return best, best.m != nil
+	slices.SortStableFunc(found, func(a, b wait) int { return cmp.Compare(a.ends, b.ends) })
+	out := make([]choice, len(found))
+	for i := range found {
+		out[i] = found[i].choice
+	}
+	return out
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,6 +114,7 @@
 	BootPatience float64
 	SilentReturn micros.Span
 	HireAhead    micros.Span
+	KeepAfter    micros.Span
 }
 
 // Load reads the settings and, where a path is given, the options.
@@ -261,11 +262,12 @@
 		Grace:        span(o.GraceS, 20, "grace_s"),
 		RoundBudget:  span(o.RoundBudgetS, 0.02, "round_budget_s"),
 		PreemptAfter: span(o.PreemptAfterS, 1, "preempt_after_s"),
-		MaxMachines:  count(o.MaxMachines, 64, 10000, "max_machines"),
+		MaxMachines:  count(o.MaxMachines, 2000, 100000, "max_machines"),
 		IdleReturn:   span(o.IdleReturnS, 30, "idle_return_s"),
 		BootPatience: num(o.BootPatience, 3, 1, 100, "boot_patience"),
 		SilentReturn: span(o.SilentReturnS, 3*lease, "silent_return_s"),
 		HireAhead:    span(o.HireAheadS, 10, "hire_ahead_s"),
+		KeepAfter:    span(o.KeepAfterS, 45, "keep_after_s"),
 	}
 	return errors.Join(errs...)
 }
--- a/node.go
+++ b/node.go
@@ -200,8 +200,8 @@
 	return ro.term.report(ctx, r), ""
 }
 
-// Subscribe gives the views of a term.
-func (n *Node) Subscribe(ctx context.Context, member string, token uint64) <-chan *manager.View {
+// Subscribe gives what changes in the views of a term.
+func (n *Node) Subscribe(ctx context.Context, member string, token uint64) func(since uint64) *manager.Update {
 	if t := n.role.Load().term; t != nil && t.token == token {
 		return t.subscribe(ctx, member)
 	}
@@ -219,8 +219,8 @@
 // show takes a view for display and for the health check.
 func (n *Node) show(v *manager.View) {
 	p := make(map[string]counts, len(v.Jobs))
-	for i := range v.Jobs {
-		p[v.Jobs[i].ID] = counts{v.Jobs[i].Done, v.Jobs[i].Running}
+	for _, j := range v.Jobs {
+		p[j.ID] = counts{j.Done, j.Running}
 	}
 	n.progress.Store(&p)
 	if v.StateOK {
--- a/term.go
+++ b/term.go
@@ -30,17 +30,19 @@
 	answer  atomic.Int64  // until when workers may be answered
 	silent  atomic.Bool   // some machine that was up has fallen silent
 
-	mgr    *manager.Manager
-	fleet  *fleet.Fleet
-	subs   map[*subscriber]bool
-	alive  map[string]micros.Time // when each other controller asked last
-	shown  micros.Time
-	assign map[string]string
+	mgr     *manager.Manager
+	fleet   *fleet.Fleet
+	subs    map[*subscriber]bool
+	alive   map[string]micros.Time // when each other controller asked last
+	shown   micros.Time
+	managed micros.Time // when the fleet decided last
+	assign  map[string]string
 }
 
+// subscriber is a controller that follows; news tells it that there is a newer view.
 type subscriber struct {
 	member string
-	views  chan *manager.View
+	news   chan struct{}
 }
 
 func newTerm(n *Node, token uint64, depose func(string)) *term {
@@ -51,13 +53,14 @@
 const (
 	tickEvery = 500 * micros.Millisecond
 	showEvery = 250 * micros.Millisecond
+	// manageEvery is short against the time that a machine takes to come up.
+	manageEvery = 500 * micros.Millisecond
 )
 
 func (t *term) run(ctx context.Context) {
 	n := t.n
 	d := &n.set.Deployment
 	defer close(t.done)
-	defer t.end()
 	// The leader does nearly all the writing and all the renting.
 	n.state.SetWriteShare(d.State.WriteRPS * 0.6)
 	n.cloud.SetShare(d.Cloud.RPS * 0.7)
@@ -106,12 +109,6 @@
 	}
 }
 
-func (t *term) end() {
-	for s := range t.subs {
-		close(s.views)
-	}
-}
-
 // load reads what the state service holds; the watch of jobs goes on from there.
 func (t *term) load(ctx context.Context) (from uint64, ok bool) {
 	n := t.n
@@ -210,8 +207,11 @@
 	return nil
 }
 
-func (t *term) subscribe(ctx context.Context, member string) <-chan *manager.View {
-	s := &subscriber{member: member, views: make(chan *manager.View, 1)}
+// subscribe enters a follower. What it gets waits for a view newer than the one of the
+// given version and gives what has changed; nil when the term is over.
+func (t *term) subscribe(ctx context.Context, member string) func(since uint64) *manager.Update {
+	s := &subscriber{member: member, news: make(chan struct{}, 1)}
+	s.news <- struct{}{}
 	select {
 	case <-t.ready:
 	case <-ctx.Done():
@@ -234,12 +234,21 @@
 				return
 			}
 			delete(t.subs, s)
-			close(s.views)
 			t.n.log.Info("a controller follows no longer", "follower", member)
 			t.reassign(now)
 		})
 	})
-	return s.views
+	return func(since uint64) (u *manager.Update) {
+		select {
+		case <-s.news:
+		case <-ctx.Done():
+			return nil
+		case <-t.done:
+			return nil
+		}
+		t.call(ctx, func(now micros.Time) { u = t.mgr.Update(now, since) })
+		return u
+	}
 }
 
 // reassign spreads the teams over the controllers that follow and show signs of life.
@@ -293,7 +302,8 @@
 	t.reassign(now)
 	t.mgr.SetStateOK(t.mayPromise(now))
 	if t.mayPromise(now) {
-		t.mgr.Preempt(now)
+		t.mgr.KeepRoom(now)
+		t.mgr.Preempt(now, spent(n.set.Tuning.RoundBudget))
 	}
 	if t.mgr.Exhausted() {
 		n.start(func() { t.depose("the term has no attempt numbers left") })
@@ -310,21 +320,17 @@
 	v := t.mgr.View(now)
 	t.n.show(v)
 	for s := range t.subs {
-		w := v
-		for sent := false; !sent; {
-			select {
-			case s.views <- w:
-				sent = true
-			case old := <-s.views:
-				w = newer(old, w)
-			}
+		select {
+		case s.news <- struct{}{}:
+		default:
 		}
 	}
 	quiet := 2*micros.Seconds(t.n.set.Deployment.Workers.ReportS) + micros.Second
-	t.silent.Store(slices.ContainsFunc(v.Machines, func(m manager.MachineView) bool {
-		return m.State != wire.MachineStarting && !m.Deleting && m.Silent > quiet
+	t.silent.Store(slices.ContainsFunc(v.Machines, func(m *manager.MachineView) bool {
+		return m.State != wire.MachineStarting && !m.Deleting && now.Sub(m.Heard) > quiet
 	}))
-	if t.mayPromise(now) {
+	if t.mayPromise(now) && now.Sub(t.managed) >= manageEvery {
+		t.managed = now
 		t.manage(ctx, now, v)
 	}
 	t.n.placer.offer(v, func(ctx context.Context, r []manager.Request) (*peer.Answers, error) {
@@ -338,7 +344,7 @@
 	for _, note := range t.mgr.Notes() {
 		n.log.Info(note.Text, note.Args...)
 	}
-	if w := t.mgr.NextWrite(); w != nil {
+	if w := t.mgr.NextWrite(now); w != nil {
 		n.start(func() { t.write(ctx, w) })
 	}
 	if int64(now) >= t.answer.Load() {
