--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -122,6 +122,7 @@
 
 // Tick lets time pass: leases run out, notices come due.
 func (m *Manager) Tick(now micros.Time) {
+	m.account(now)
 	for _, id := range slices.Sorted(maps.Keys(m.machines)) {
 		mc := m.machines[id]
 		// Only our answers renew the lease of a worker that has seen our token, and
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -171,6 +171,7 @@
 	arrivals uint64
 	// preemptFrom is the job with which displacement goes on.
 	preemptFrom string
+	spent       spending
 	direct      map[string]bool // machines for which there may be direct orders
 	shown       shown
 }
@@ -310,6 +311,7 @@
 		t.gpus -= j.rec.Job.GPUs
 	}
 	if j.tasks[a.task] == taskActive {
+		m.accountLost(now, a)
 		if j.waiting == 0 {
 			j.waitSince = now
 		}
