--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -94,6 +94,10 @@
 		ours: true, began: now, leaseEnd: now.Add(ask.Lease)}
 	m.place(a)
 	m.touch(now, j, a.task, true)
+	// Room was kept for the job until the machine had as many of its tasks as it takes.
+	if mc.keep == ask.Job && !(&space{cpus - jb.CPUs, gpus - jb.GPUs, mem - jb.MemoryGB}).fits(jb) {
+		mc.keep = ""
+	}
 	return a
 }
 
--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -15,7 +15,8 @@
 // KeepRoom keeps machines free for the jobs that have waited longest without one of
 // their tasks being placed: nothing else is placed there, so that small tasks that fit
 // anywhere cannot take for ever what a large one waits for. It does not depend on class,
-// priority or deadline. A kept machine empties by itself.
+// priority or deadline. A kept machine empties by itself; it is kept until it has as many
+// of the job's tasks as it takes.
 func (m *Manager) KeepRoom(now micros.Time) {
 	kept, usable := 0, 0
 	mine := map[string]int{}
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -41,14 +41,14 @@
 		return w.check(f[1:])
 	case "crash", "start", "restart":
 		return w.process(f[0], f[1:])
-	case "cut", "refuse", "heal":
-		mode := map[string]standin.Mode{"cut": standin.Hold, "refuse": standin.Refuse, "heal": standin.Pass}[f[0]]
+	case "cut", "refuse", "deaf", "heal":
+		mode := map[string]standin.Mode{"cut": standin.Hold, "refuse": standin.Refuse, "deaf": standin.Deaf, "heal": standin.Pass}[f[0]]
 		return w.link(f[1], f[2], mode)
 	case "state":
 		return w.stateFault(f[1:])
 	case "cloud":
 		return w.cloudFault(f[1:])
-	case "hang", "resume", "die", "take", "notice":
+	case "hang", "resume", "die", "take", "notice", "copies":
 		return w.machineFault(f[0], f[1:])
 	default:
 		return fmt.Errorf("unknown word")
@@ -218,6 +218,16 @@
 			return nil
 		}
 		got = w.leader()
+	case "answered": // ID yes: by every controller that runs
+		got = "yes"
+		for _, m := range w.members {
+			if w.nodes[m].cancel == nil {
+				continue
+			}
+			if code, _, err := w.poll(http.MethodGet, m, f[1], ""); err != nil || code != http.StatusOK {
+				got = "not by " + m
+			}
+		}
 	case "machines": // N
 		got = fmt.Sprint(w.cloud.Up())
 	case "rented": // N
@@ -348,6 +358,8 @@
 		w.cloud.Take(f[0])
 	case "notice": // MACHINE SECONDS
 		wk.Notice(seconds(f[1]))
+	case "copies": // MACHINE SECONDS
+		wk.Copies(seconds(f[1]))
 	}
 	return nil
 }
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -23,6 +23,7 @@
 	Pass   Mode = iota
 	Hold        // packets are held back and delivered once the link passes again
 	Refuse      // connections are refused and open ones reset
+	Deaf        // what goes to the first host is held back; what it sends arrives
 )
 
 // Network connects hosts, each with one address.
@@ -30,12 +31,13 @@
 	mu     sync.Mutex
 	hosts  map[string]*Host
 	links  map[[2]string]Mode
-	change chan struct{} // closed when something may have become possible
+	deaf   map[[2]string]string // the host that does not hear the other
+	change chan struct{}        // closed when something may have become possible
 }
 
 // NewNetwork makes a network without hosts.
 func NewNetwork() *Network {
-	return &Network{hosts: map[string]*Host{}, links: map[[2]string]Mode{}, change: make(chan struct{})}
+	return &Network{hosts: map[string]*Host{}, links: map[[2]string]Mode{}, deaf: map[[2]string]string{}, change: make(chan struct{})}
 }
 
 // Host is a machine for as long as it lives; another may take its address then.
@@ -90,11 +92,13 @@
 	return [2]string{a, b}
 }
 
-// Link sets how the link between two hosts behaves.
+// Link sets how the link between two hosts behaves; with Deaf, a is the one that does not
+// hear.
 func (n *Network) Link(a, b string, m Mode) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.links[pair(a, b)] = m
+	n.deaf[pair(a, b)] = a
 	for _, ip := range []string{a, b} {
 		h := n.hosts[ip]
 		if h == nil {
@@ -107,14 +111,20 @@
 			if m == Refuse {
 				c.breakBoth(syscall.ECONNRESET)
 			} else {
-				c.in.setHeld(m == Hold)
-				c.out.setHeld(m == Hold)
+				c.in.setHeld(n.holds(c.remote.ip, c.local.ip))
+				c.out.setHeld(n.holds(c.local.ip, c.remote.ip))
 			}
 		}
 	}
 	n.broadcast()
 }
 
+// holds tells whether packets from one host to another are held back.
+func (n *Network) holds(from, to string) bool {
+	p := pair(from, to)
+	return n.links[p] == Hold || n.links[p] == Deaf && n.deaf[p] == to
+}
+
 // Listen opens a listener on the host.
 func (h *Host) Listen(addr string) (net.Listener, error) {
 	h.net.mu.Lock()
@@ -162,7 +172,7 @@
 	}
 	to := n.hosts[ip]
 	mode := n.links[pair(h.ip, ip)]
-	if to == nil || mode == Hold {
+	if to == nil || mode == Hold || mode == Deaf && n.deaf[pair(h.ip, ip)] == ip {
 		return nil, n.change, nil // silent
 	}
 	if to.dead || mode == Refuse || to.listeners[addr] == nil {
@@ -178,6 +188,7 @@
 		return nil, nil, refused
 	}
 	h.conns[near], to.conns[far] = true, true
+	down.setHeld(n.holds(ip, h.ip))
 	return near, nil, nil
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -32,6 +32,8 @@
 	cfg               WorkerConfig
 	host              *Host
 	http              *http.Client
+	mail              *http.Client // outlives the machine, as late copies do
+	copies            time.Duration
 	inbox             chan func()
 	cancel            context.CancelFunc
 
@@ -70,6 +72,7 @@
 	w := &Worker{id: id, ip: ip, typ: typ, zone: zone, spot: spot, cfg: cfg, host: n.Host(ip), inbox: make(chan func(), 64),
 		cancel: cancel, gone: make(chan struct{}), session: 1, images: map[string]time.Time{}, renewed: time.Now()}
 	w.http = &http.Client{Transport: &http.Transport{DialContext: w.host.Dial}}
+	w.mail = &http.Client{Transport: &http.Transport{DialContext: n.Host("mail-" + ip).Dial, DisableKeepAlives: true}}
 	l, err := w.host.Listen(ip + ":9000")
 	if err != nil {
 		panic(err)
@@ -109,6 +112,9 @@
 	}
 }
 
+// Copies has a copy of every report arrive late as well, also once the machine is gone.
+func (w *Worker) Copies(late time.Duration) { w.inbox <- func() { w.copies = late } }
+
 // Notice has the cloud announce that it takes the machine back.
 func (w *Worker) Notice(in time.Duration) {
 	at := time.Now().Add(in)
@@ -221,8 +227,11 @@
 	w.nextReport = now.Add(time.Duration(float64(w.cfg.Report) * (0.75 + rand.Float64()/2)))
 	body, session := w.describe(), w.session
 	addr := w.cfg.Nodes[w.node].Addr
+	if w.copies > 0 {
+		time.AfterFunc(w.copies, func() { w.send(context.Background(), w.mail, addr, body) })
+	}
 	go func() {
-		code, answer := w.send(ctx, addr, body)
+		code, answer := w.send(ctx, w.http, addr, body)
 		w.do(ctx, func() { w.answered(now, session, code, answer) })
 	}()
 }
@@ -245,14 +254,14 @@
 	return body
 }
 
-func (w *Worker) send(ctx context.Context, addr string, body []byte) (int, []byte) {
+func (w *Worker) send(ctx context.Context, client *http.Client, addr string, body []byte) (int, []byte) {
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+wire.PathReport, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
-	resp, err := w.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, nil
 	}
