A new leader announces itself to the other controllers

Ruled out: the permit's length, processor time (same without). The new leader now tells every other controller its token; the old one steps down at once.

--- a/elect.go
+++ b/elect.go
@@ -8,6 +8,7 @@
 
 	"saffronbend/internal/election"
 	"saffronbend/internal/micros"
+	"saffronbend/internal/peer"
 	"saffronbend/internal/state"
 	"saffronbend/wire"
 )
@@ -104,6 +105,9 @@
 		d.stop = cancel
 		n.role.Store(&role{term: t, leader: member})
 		n.start(func() { t.run(tctx) })
+		for _, p := range n.set.Peers {
+			n.start(func() { n.announce(tctx, p.Addr, token) })
+		}
 	default:
 		fctx, cancel := context.WithCancel(ctx)
 		d.stop = cancel
@@ -116,6 +120,14 @@
 	}
 }
 
+// announce tells another controller that this one leads, until that has heard it.
+func (n *Node) announce(ctx context.Context, addr string, token uint64) {
+	c := peer.NewClient(n.net.Dial, addr, n.set.Member, token)
+	defer c.Close()
+	for c.Announce(ctx) != nil && sleep(ctx, 500*micros.Millisecond) {
+	}
+}
+
 func outcome(err error) election.Outcome {
 	var c *state.Conflict
 	switch {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -167,6 +167,21 @@
 	return nil
 }
 
+// Announced takes another controller's word that it leads under a token. Tokens only
+// grow, so whoever had a lower one leads no longer, also where the state service can't
+// tell it so: its workers need not wait until it has given up by its own clock.
+func (e *Election) Announced(now micros.Time, member string, token uint64) []Effect {
+	if token <= e.version || member == e.cfg.Member {
+		return nil
+	}
+	e.record, e.version = &state.LeaderRecord{Member: member}, token
+	if e.leading {
+		return e.lose("another controller leads")
+	}
+	e.campaign = false
+	return nil
+}
+
 // Refused says that the leader's host refuses connections after it served us: most
 // likely its process has ended. That is no proof, and none is needed.
 func (e *Election) Refused(now micros.Time, token uint64) []Effect {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -46,11 +46,20 @@
 	Subscribe(ctx context.Context, member string, token uint64) func(since uint64) *manager.Update
 	// Ask serves lease requests.
 	Ask(ctx context.Context, a Asks) (*Answers, error)
+	// Announced takes another controller's word that it leads.
+	Announced(ctx context.Context, a Announcement)
+}
+
+// Announcement says who leads under which token.
+type Announcement struct {
+	Member string `json:"member"`
+	Token  uint64 `json:"token"`
 }
 
 const (
 	pathView = "/peer/view"
 	pathAsk  = "/peer/ask"
+	pathLead = "/peer/lead"
 	// Silence on a stream after which it counts as broken.
 	silence = 2 * time.Second
 	maxAsks = 4 << 20
@@ -61,6 +70,14 @@
 	r := httprouter.New()
 	r.GET(pathView, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) { serveView(w, req, leader) })
 	r.POST(pathAsk, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) { serveAsk(w, req, leader) })
+	r.POST(pathLead, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+		var a Announcement
+		if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAsks)).Decode(&a); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		leader.Announced(req.Context(), a)
+	})
 	srv := &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
 		BaseContext: func(net.Listener) context.Context { return ctx }, Protocols: protocols(), MaxHeaderBytes: 16 << 10}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
@@ -171,28 +188,42 @@
 
 // Ask sends lease requests.
 func (c *Client) Ask(ctx context.Context, requests []manager.Request) (*Answers, error) {
+	var ans Answers
+	if err := c.post(ctx, pathAsk, Asks{Member: c.member, Token: c.token, Requests: requests}, &ans); err != nil {
+		return nil, err
+	}
+	return &ans, nil
+}
+
+// Announce says that this client's controller leads under its token.
+func (c *Client) Announce(ctx context.Context) error {
+	return c.post(ctx, pathLead, Announcement{Member: c.member, Token: c.token}, nil)
+}
+
+func (c *Client) post(ctx context.Context, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
-	data, err := json.Marshal(Asks{Member: c.member, Token: c.token, Requests: requests})
+	data, err := json.Marshal(in)
 	if err != nil {
-		return nil, fmt.Errorf("peer: encode: %w", err)
+		return fmt.Errorf("peer: encode: %w", err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addr+pathAsk, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addr+path, bytes.NewReader(data))
 	if err != nil {
-		return nil, fmt.Errorf("peer: %w", err)
+		return fmt.Errorf("peer: %w", err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("peer: %w", err)
+		return fmt.Errorf("peer: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, resp.Body)
-		return nil, ErrNotLeader
+		return ErrNotLeader
 	}
-	var ans Answers
-	if err := json.NewDecoder(resp.Body).Decode(&ans); err != nil {
-		return nil, fmt.Errorf("peer: answer: %w", err)
+	if out != nil {
+		if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+			return fmt.Errorf("peer: answer: %w", err)
+		}
 	}
-	return &ans, nil
+	return nil
 }
--- a/node.go
+++ b/node.go
@@ -23,6 +23,7 @@
 
 	"saffronbend/internal/api"
 	"saffronbend/internal/cloud"
+	"saffronbend/internal/election"
 	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
@@ -69,6 +70,7 @@
 	viewed   atomic.Int64 // when a view with a served leader came last
 	stateOK  atomic.Int64 // when the state service last served us
 	placer   *placer
+	elector  *elector
 	wg       sync.WaitGroup
 }
 
@@ -89,6 +91,7 @@
 		workers: worker.NewClient(network.Dial)}
 	n.role.Store(&role{})
 	n.placer = newPlacer(n)
+	n.elector = newElector(n)
 	return n
 }
 
@@ -118,7 +121,7 @@
 	})
 	n.start(func() { n.learnTypes(ctx) })
 	n.start(func() { n.placer.run(ctx) })
-	n.start(func() { newElector(n).run(ctx) })
+	n.start(func() { n.elector.run(ctx) })
 	<-ctx.Done()
 	n.wg.Wait()
 	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
@@ -216,6 +219,11 @@
 	return nil, peer.ErrNotLeader
 }
 
+// Announced takes another controller's word that it leads.
+func (n *Node) Announced(ctx context.Context, a peer.Announcement) {
+	n.elector.post(ctx, func(now micros.Time) []election.Effect { return n.elector.e.Announced(now, a.Member, a.Token) })
+}
+
 // show takes a view for display and for the health check.
 func (n *Node) show(v *manager.View) {
 	p := make(map[string]counts, len(v.Jobs))
