Keep room free for urgent arrays to come, and count on work that ends before a boot would

Now urgent tasks count on work that ends within half a boot, and as much room as their number varies by is kept free.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,12 +50,14 @@
 	refused map[place]micros.Time // no asking again before
 	refusal map[place]micros.Span
 	out     map[string]wire.Hire // hires that await their outcome
+	demand  demand
 	serial  int
 }
 
 // New starts a term.
 func New(now micros.Time, cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, born: now, refused: map[place]micros.Time{}, refusal: map[place]micros.Span{}, out: map[string]wire.Hire{}}
+	return &Fleet{cfg: cfg, born: now, refused: map[place]micros.Time{}, refusal: map[place]micros.Span{}, out: map[string]wire.Hire{},
+		demand: demand{seen: map[string]bool{}, classes: map[string][]arrival{}}}
 }
 
 // SetTypes takes the machine types with their current prices.
@@ -93,8 +95,9 @@
 	keep string // the job for which its room is kept
 	room room
 	used bool
-	// later is what work that ends before long frees; only patient jobs count on it.
-	later room
+	// later is what work that ends before long frees, for jobs whose start has no aim; soon
+	// what work frees well before a new machine would be up, for the others.
+	later, soon room
 }
 
 type room struct{ cpus, gpus, mem float64 }
@@ -107,17 +110,25 @@
 type want struct {
 	*manager.JobView
 	n       int
-	choices int // machine types that the job may use
+	choices int  // machine types that the job may use
+	urgent  bool // its class has an aim for how soon its tasks start
+	// expected tasks have not been asked for yet: only free room is room for them, and
+	// only spot machines are rented for them.
+	expected bool
 }
 
-// take books as many of the wanted tasks as fit and gives their number; patient ones may
-// count on room to come.
-func (b *bin) take(w *want, patient bool) int {
+// take books as many of the wanted tasks as fit, also into room to come, and gives their
+// number.
+func (b *bin) take(w *want) int {
 	if b.keep != "" && b.keep != w.ID {
 		return 0
 	}
 	have := b.room
-	if patient {
+	switch {
+	case w.expected:
+	case w.urgent:
+		have.add(b.soon.cpus, b.soon.gpus, b.soon.mem)
+	default:
 		have.add(b.later.cpus, b.later.gpus, b.later.mem)
 	}
 	n := w.n
@@ -148,6 +159,7 @@
 	if len(f.types) == 0 {
 		return acts
 	}
+	f.demand.see(v, f.cfg.Urgent)
 	f.remove(v, &acts)
 	// A new leader first hears from the machines that there are.
 	if now.Sub(f.born) < f.cfg.Report.Scale(1.25)+2*micros.Second {
@@ -215,9 +227,16 @@
 		case m.Usable:
 			for _, g := range m.Leases {
 				for _, l := range g.Leases {
-					if left := l.Due.Sub(v.Now); left < f.cfg.Tuning.HireAhead && left > -f.cfg.Tuning.Grace {
+					left := l.Due.Sub(v.Now)
+					if left < -f.cfg.Tuning.Grace {
+						continue
+					}
+					if left < f.cfg.Tuning.HireAhead {
 						b.later.add(g.CPUs, g.GPUs, g.MemoryGB)
 					}
+					if left < micros.Seconds(t.BootS/2) {
+						b.soon.add(g.CPUs, g.GPUs, g.MemoryGB)
+					}
 				}
 			}
 		case !m.Coming:
@@ -248,7 +267,7 @@
 	var wants []*want
 	for _, j := range v.Jobs {
 		if n := v.Wants(j); n > 0 {
-			wants = append(wants, &want{JobView: j, n: n, choices: f.choices(j)})
+			wants = append(wants, &want{JobView: j, n: n, choices: f.choices(j), urgent: f.cfg.Urgent[j.Class]})
 		}
 	}
 	slices.SortStableFunc(wants, func(a, b *want) int {
@@ -258,10 +277,9 @@
 		return cmp.Or(cmp.Compare(a.typ.CPUs, b.typ.CPUs), cmp.Compare(a.room.cpus, b.room.cpus))
 	})
 	var short []*want
-	for _, w := range wants {
-		patient := !f.cfg.Urgent[w.Class]
+	for _, w := range slices.Concat(wants, f.demand.expect(v.Now, f.cfg.Tuning.Reserve)) {
 		for _, b := range bins {
-			if w.n -= b.take(w, patient); w.n == 0 {
+			if w.n -= b.take(w); w.n == 0 {
 				break
 			}
 		}
@@ -351,7 +369,10 @@
 		b := newBin(t, p)
 		var left []*want
 		for _, w := range rest {
-			got := b.take(w, false)
+			got := 0
+			if p.spot || !w.expected {
+				got = b.take(w)
+			}
 			if got == 0 {
 				left = append(left, w)
 				continue
