--- /dev/null
+++ b/cmd/saffronbend/job.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"saffronbend/client"
+	"saffronbend/wire"
+)
+
+// jobCmd is the users' side: a thin client.
+type jobCmd struct {
+	Server   []string      `help:"Addresses of the service, with ports." default:"127.0.0.1:8080" env:"SAFFRONBEND_SERVER" placeholder:"ADDR,..."`
+	Patience time.Duration `help:"How long a request that can't be served is repeated." default:"60s"`
+
+	Submit   submitCmd   `cmd:"" help:"Submit a job."`
+	Status   statusCmd   `cmd:"" help:"Ask about a job."`
+	Withdraw withdrawCmd `cmd:"" help:"Cancel a job."`
+}
+
+type (
+	submitCmd struct {
+		File string `arg:"" help:"The job as JSON; - for standard input." placeholder:"FILE"`
+	}
+	statusCmd struct {
+		ID string `arg:"" help:"The job's id, such as run-000412."`
+	}
+	withdrawCmd struct {
+		ID string `arg:"" help:"The job's id, such as run-000412."`
+	}
+)
+
+func (j *jobCmd) client() *client.Client {
+	return &client.Client{Servers: j.Server, Patience: j.Patience, Retry: func(why string, after time.Duration) {
+		fmt.Fprintf(os.Stderr, "saffronbend: %s; again in %v\n", why, after)
+	}}
+}
+
+func (s submitCmd) Run(c *cli) error {
+	in := io.Reader(os.Stdin)
+	if s.File != "-" {
+		f, err := os.Open(s.File)
+		if err != nil {
+			return fmt.Errorf("the job can't be read: %w", err)
+		}
+		defer f.Close()
+		in = f
+	}
+	job, err := io.ReadAll(io.LimitReader(in, wire.MaxBody+1))
+	if err != nil {
+		return fmt.Errorf("the job can't be read: %w", err)
+	}
+	if len(job) > wire.MaxBody {
+		return fmt.Errorf("the job is longer than %d bytes", wire.MaxBody)
+	}
+	return tell(func(ctx context.Context) (*wire.JobStatus, error) { return c.Job.client().Submit(ctx, job) })
+}
+
+func (s statusCmd) Run(c *cli) error {
+	return tell(func(ctx context.Context) (*wire.JobStatus, error) { return c.Job.client().Status(ctx, s.ID) })
+}
+
+func (w withdrawCmd) Run(c *cli) error {
+	return tell(func(ctx context.Context) (*wire.JobStatus, error) { return c.Job.client().Withdraw(ctx, w.ID) })
+}
+
+// tell prints a job's state in one line.
+func tell(ask func(context.Context) (*wire.JobStatus, error)) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	st, err := ask(ctx)
+	if err != nil {
+		return err
+	}
+	line := []string{st.ID, st.Status}
+	if st.Done != nil && st.Running != nil {
+		line = append(line, fmt.Sprintf("%d done", *st.Done), fmt.Sprintf("%d running", *st.Running))
+	}
+	fmt.Println(strings.Join(line, " "))
+	return nil
+}
--- a/cmd/saffronbend/main.go
+++ b/cmd/saffronbend/main.go
@@ -1,4 +1,5 @@
-// Command saffronbend runs a controller of the saffronbend cluster scheduler.
+// Command saffronbend runs a controller of the saffronbend cluster scheduler, and is
+// its users' client.
 package main
 
 import (
@@ -29,6 +30,7 @@
 
 	Run   runCmd   `cmd:"" default:"1" help:"Run a controller until it is killed (default)."`
 	Check checkCmd `cmd:"" help:"Check the settings and the options, and exit."`
+	Job   jobCmd   `cmd:"" help:"Submit, ask about and withdraw jobs."`
 }
 
 type (
