Followers keep workers' leases alive while their leader is silent

A follower that the state service serves now writes down that it renews under the leader's token and answers the workers; the leader reads that before it takes any lease for run out.

--- a/elect.go
+++ b/elect.go
@@ -112,8 +112,10 @@
 		fctx, cancel := context.WithCancel(ctx)
 		d.stop = cancel
 		n.log.Info("following a leader", "leader", member, "token", token)
+		care := &caretaker{n: n, token: token}
+		n.role.Store(&role{leader: member, care: care})
 		n.start(func() {
-			n.follow(fctx, member, token, func() {
+			n.follow(fctx, member, token, care, func() {
 				d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Refused(now, token) })
 			})
 		})
--- a/follow.go
+++ b/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,9 +14,9 @@
 )
 
 // follow keeps a stream to the leader until ctx ends, and hands its views to the
-// placer. refused is called when the leader's host, having served us, refuses
-// connections.
-func (n *Node) follow(ctx context.Context, leader string, token uint64, refused func()) {
+// placer. While the leader is silent, care is taken of its workers; refused is called when
+// its host, having served us, refuses connections.
+func (n *Node) follow(ctx context.Context, leader string, token uint64, care *caretaker, refused func()) {
 	addr := ""
 	for _, p := range n.set.Peers {
 		if p.Member == leader {
@@ -29,6 +30,13 @@
 	c := peer.NewClient(n.net.Dial, addr, n.set.Member, token)
 	defer c.Close()
 	served, refusals := false, 0
+	// heard is when the leader was heard last; a refusal shows that it, or its host, is
+	// there: then its workers need no care.
+	var heard atomic.Int64
+	heard.Store(int64(n.clock.Now()))
+	n.start(func() {
+		care.run(ctx, func() bool { return n.clock.Now().Sub(micros.Time(heard.Load())) > careAfter })
+	})
 	for ctx.Err() == nil {
 		var mirror manager.Mirror
 		err := c.Updates(ctx, func(u *manager.Update) bool {
@@ -37,6 +45,7 @@
 				return false
 			}
 			served, refusals = true, 0
+			heard.Store(int64(n.clock.Now()))
 			n.show(v)
 			n.placer.offer(v, c.Ask)
 			return true
@@ -47,6 +56,7 @@
 		n.log.Debug("the leader's stream ended", "leader", leader, "err", err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			refusals++
+			heard.Store(int64(n.clock.Now()))
 		}
 		if served && refusals >= 2 {
 			refused()
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"saffronbend/internal/micros"
+	"saffronbend/internal/state"
 	"saffronbend/wire"
 )
 
@@ -125,11 +126,7 @@
 	m.account(now)
 	for _, id := range slices.Sorted(maps.Keys(m.machines)) {
 		mc := m.machines[id]
-		// Only our answers renew the lease of a worker that has seen our token, and
-		// the report that we answered last was sent before we got it. The worker's
-		// clock may differ from ours by 0.05% each way.
-		ranOut := mc.lastReport.Add(m.cfg.Lease + m.cfg.Lease/500 + m.cfg.Margin)
-		if mc.up && mc.confirmed && now > ranOut {
+		if mc.up && mc.confirmed && now > m.ranOut(mc) && m.provenAlone(mc) {
 			m.note("machine lost: its worker's lease has run out", "machine", mc.id, "tasks", len(mc.attempts))
 			mc.deadSession = max(mc.deadSession, mc.session)
 			m.machineGone(now, mc)
@@ -147,6 +144,59 @@
 	m.shown.changed = true
 }
 
+// ranOut is when a worker's lease has run out if nobody else has renewed it: only answers
+// with our token renew the lease of a worker that has seen it, and the report that we
+// answered last was sent before we got it. The worker's clock may differ from ours by
+// 0.05% each way.
+func (m *Manager) ranOut(mc *machine) micros.Time {
+	return max(mc.lastReport, m.care.last).Add(m.cfg.Lease + m.cfg.Lease/500 + m.cfg.Margin)
+}
+
+// care is what is known of controllers that renew worker leases in our stead.
+type care struct {
+	last    micros.Time // when one may have done so last
+	clearAt micros.Time // up to when all is known
+	asking  bool
+	on      bool              // at the last reading, somebody did
+	stamps  map[string]uint64 // of the records that tell when each began last
+}
+
+// provenAlone tells whether nobody can have renewed a worker's lease in our stead until
+// it had run out; if that is not known, the records have to be read.
+func (m *Manager) provenAlone(mc *machine) bool {
+	if m.care.clearAt > m.ranOut(mc) {
+		return true
+	}
+	m.care.asking = true
+	return false
+}
+
+// CareWanted tells whether the records of who renews in our stead have to be read.
+func (m *Manager) CareWanted() bool {
+	w := m.care.asking
+	m.care.asking = false
+	return w
+}
+
+// Care takes those records as they were read by a request sent at the given time.
+func (m *Manager) Care(now, sent micros.Time, records []wire.Item) {
+	stamps := map[string]uint64{}
+	on := false
+	for _, it := range records {
+		if state.CareIsOn(it.Key) {
+			on = true
+		} else {
+			stamps[it.Key] = it.Version
+		}
+	}
+	// One that was on may have gone on until just now.
+	if on || m.care.on || !maps.Equal(stamps, m.care.stamps) {
+		m.care.last = now
+	}
+	m.care.on, m.care.stamps = on, stamps
+	m.care.clearAt = sent
+}
+
 // vacate stops what can save its progress before a spot machine is taken. Work that
 // cannot save goes on: it may finish in time.
 func (m *Manager) vacate(now micros.Time, mc *machine) {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -172,6 +172,7 @@
 	// preemptFrom is the job with which displacement goes on.
 	preemptFrom string
 	spent       spending
+	care        care
 	direct      map[string]bool // machines for which there may be direct orders
 	shown       shown
 }
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -24,6 +24,8 @@
 	now micros.Time
 	seq uint64
 	rev uint64
+	// care are the records of controllers that renew in the leader's stead.
+	care []wire.Item
 }
 
 func newBench(t *testing.T, open, chunks []wire.Item) *bench {
@@ -60,6 +62,15 @@
 
 func (b *bench) wait(s micros.Span) { b.now = b.now.Add(s) }
 
+// tick lets time pass twice, so that what the first time asks for is known the second.
+func (b *bench) tick() {
+	b.m.Tick(b.now)
+	if b.m.CareWanted() {
+		b.m.Care(b.now, b.now, b.care)
+		b.m.Tick(b.now)
+	}
+}
+
 // report has a machine report, with tasks such as "run-1/0 5 running"; the answer's
 // orders come as such words, or "dropped".
 func (b *bench) report(machine string, tok, session uint64, tasks ...string) string {
@@ -182,17 +193,54 @@
 	b.report("n-1-a", token, 1)
 	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first))
 	b.wait(lease + micros.Second/2)
-	b.m.Tick(b.now)
+	b.tick()
 	b.up("n-2-a")
 	b.want(b.grant("run-1", "n-2-a", 1), 0)
 	b.wait(micros.Second)
-	b.m.Tick(b.now)
+	b.tick()
 	b.up("n-2-a")
 	b.want(b.grant("run-1", "n-2-a", 1), 1)
 	// A report of the dead session that was held back renews nothing.
 	b.want(b.report("n-1-a", token, 1), "dropped")
 }
 
+// While another controller may renew worker leases in the leader's stead, silence proves
+// nothing; after it has ended, a whole lease must pass again.
+func TestLeaseMayBeRenewedByACaretaker(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first))
+	b.m.Care(b.now, b.now, nil)
+	lost := func() bool {
+		b.tick()
+		b.up("n-2-a")
+		return b.grant("run-1", "n-2-a", 1) == 1
+	}
+	b.wait(lease / 2)
+	b.care = []wire.Item{{Key: state.CareKey("c2", true), Version: 9}, {Key: state.CareKey("c2", false), Version: 9}}
+	b.wait(lease)
+	b.want(lost(), false)
+	b.care = b.care[1:] // it has ended, but may have renewed until just now
+	b.wait(2 * lease)
+	b.want(lost(), false)
+	b.wait(lease)
+	b.want(lost(), false)
+	b.wait(2 * micros.Second)
+	b.want(lost(), true)
+}
+
+// One that began and ended between two readings shows by the record that stays.
+func TestCaretakerBetweenReadings(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	b.m.Care(b.now, b.now, nil)
+	b.wait(lease + 2*micros.Second)
+	b.care = []wire.Item{{Key: state.CareKey("c2", false), Version: 9}}
+	b.tick()
+	b.up("n-2-a")
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+}
+
 // Silence of a machine that never had our token proves nothing, however long.
 func TestSilenceUnderAnotherTokenProvesNothing(t *testing.T) {
 	open := []wire.Item{item(state.OpenKey("run-1"), 5, record("run-1", 1, nil))}
@@ -201,7 +249,7 @@
 	b := newBench(t, open, chunks)
 	b.report("n-1-a", token-1, 1, "run-1/0 99 running")
 	b.wait(100 * lease)
-	b.m.Tick(b.now)
+	b.tick()
 	b.up("n-2-a")
 	b.want(b.grant("run-1", "n-2-a", 1), 0)
 	b.m.Deleted(b.now, []string{"n-1-a"})
@@ -217,6 +265,136 @@
 	b.want(b.reportAs(49, "n-1-a", token, 1), "dropped")
 }
 
+// A machine that loses its lease though we answer it does not hear us. It gets nothing
+// until something shows that it does: here, that it carries out an empty order.
+func TestDeafMachineGetsNothing(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	b.report("n-1-a", token, 2)
+	b.want(b.grant("run-1", "n-1-a", 1), 0)
+	b.wait(lease)
+	b.report("n-1-a", token, 3)
+	b.want(b.grant("run-1", "n-1-a", 1), 0)
+	d := b.m.Directs(b.now, true)
+	b.want(len(d), 1)
+	b.want(len(d[0].Body.Commands), 0)
+	b.m.DirectDone(b.now, d[0], false, nil)
+	b.want(b.grant("run-1", "n-1-a", 1), 0)
+	b.wait(4 * micros.Second)
+	b.report("n-1-a", token, 3)
+	d = b.m.Directs(b.now, true)
+	b.want(len(d), 1)
+	b.seq++
+	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 3, Seq: b.seq, Token: token})
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
+
+// So does one that does not carry out the launch in an answer.
+func TestLaunchNotHeard(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 2, nil)
+	b.grant("run-1", "n-1-a", 1)
+	b.write()
+	launch := fmt.Sprintf("launch run-1/0 %d", first)
+	b.want(b.report("n-1-a", token, 1), launch)
+	b.want(b.report("n-1-a", token, 1), launch)
+	b.want(b.grant("run-1", "n-1-a", 1), 0)
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first))
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
+
+// A late copy from a machine that was returned under an earlier leader brings neither it
+// nor its tasks back into the books of a new one.
+func TestCopyFromAMachineThatIsGone(t *testing.T) {
+	open := []wire.Item{item(state.OpenKey("run-1"), 5, record("run-1", 1, nil))}
+	b := newBench(t, open, nil)
+	b.want(b.report("n-9-a", token-1, 4, "run-1/0 99 running"), "")
+	b.want(len(b.m.View(b.now).Machines), 0)
+	b.up("n-1-a")
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
+
+// A copy from a machine that we know of, but that has not heard us yet, shows nothing of
+// what runs there now.
+func TestCopyAdoptsNothing(t *testing.T) {
+	open := []wire.Item{item(state.OpenKey("run-1"), 5, record("run-1", 1, nil))}
+	b := newBench(t, open, nil)
+	b.m.Listed(b.now, []wire.Machine{{ID: "n-9-a", Type: "small", Zone: "a", State: wire.MachineRunning}})
+	b.report("n-9-a", token-1, 4, "run-1/0 99 running")
+	b.up("n-1-a")
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
+
+// Nothing else is placed where room is kept for the job that has waited longest.
+func TestRoomIsKeptForTheLongestWaiting(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, func(j *wire.Job) { j.CPUs = 8 })
+	b.job("run-2", 9, nil)
+	b.want(b.grant("run-2", "n-1-a", 1), 1)
+	b.wait(micros.Minute)
+	b.up("n-1-a")
+	b.m.KeepRoom(b.now)
+	b.want(b.grant("run-2", "n-1-a", 1), 0)
+	b.write()
+	b.report("n-1-a", token, 1)
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-2/0 %d ended done", first))
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+	b.up("n-2-a")
+	b.want(b.grant("run-2", "n-2-a", 1), 1)
+}
+
+// Launches are written before progress, which gathers.
+func TestLaunchesAreWrittenFirst(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	b.job("run-2", 2, nil)
+	b.grant("run-2", "n-1-a", 1)
+	b.write()
+	second := first + 1
+	b.report("n-1-a", token, 1)
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d running", first), fmt.Sprintf("run-2/0 %d ended done", second))
+	b.want(b.m.NextWrite(b.now), (*Write)(nil))
+	b.grant("run-2", "n-1-a", 1)
+	w := b.m.NextWrite(b.now)
+	b.want(len(w.Changes), 1)
+	b.want(len(w.Changes[0].Value.(state.ChunkRecord).Active), 1)
+}
+
+// A follower's copy is that of the leader, whatever views it has missed.
+func TestMirrorFollowsTheView(t *testing.T) {
+	b := newBench(t, nil, nil)
+	var mi Mirror
+	since := uint64(0)
+	catchUp := func() *View {
+		v := b.m.View(b.now)
+		u := b.m.Update(b.now, since)
+		got := mi.Apply(u)
+		since = u.Version
+		b.want(len(got.Machines), len(v.Machines))
+		for i := range v.Machines {
+			b.want(got.Machines[i].ID, v.Machines[i].ID)
+			b.want(got.Machines[i].same(v.Machines[i]), true)
+		}
+		b.want(len(got.Jobs), len(v.Jobs))
+		return got
+	}
+	b.up("n-2-a", "n-1-a")
+	b.job("run-1", 3, nil)
+	catchUp()
+	b.grant("run-1", "n-1-a", 2)
+	b.m.View(b.now) // missed
+	b.up("n-3-a")
+	got := catchUp()
+	b.want(len(got.Machines[0].Leases[0].Leases), 2)
+	b.m.Deleted(b.now, []string{"n-2-a"})
+	b.job("run-2", 1, nil)
+	catchUp()
+	b.want(len(b.m.Update(b.now, since).Machines), 0) // nothing new to tell
+	b.want(mi.Apply(&Update{Token: token, Base: since + 1, Version: since + 2}) == nil, true)
+}
+
 // A direct launch of unknown outcome is repeated, and its attempt is never cleared: the
 // late copy would start it again.
 func TestLostDirectLaunch(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -268,7 +268,7 @@
 		BootPatience: num(o.BootPatience, 3, 1, 100, "boot_patience"),
 		SilentReturn: span(o.SilentReturnS, 3*lease, "silent_return_s"),
 		HireAhead:    span(o.HireAheadS, 10, "hire_ahead_s"),
-		Reserve:      num(o.Reserve, 1, 0, 10, "reserve"),
+		Reserve:      num(o.Reserve, 1.5, 0, 10, "reserve"),
 		KeepAfter:    span(o.KeepAfterS, 45, "keep_after_s"),
 	}
 	return errors.Join(errs...)
--- a/node.go
+++ b/node.go
@@ -78,6 +78,7 @@
 type role struct {
 	term   *term  // while it leads
 	leader string // who leads, if known
+	care   *caretaker
 }
 
 type counts struct{ done, running int }
@@ -198,6 +199,11 @@
 func (n *Node) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, string) {
 	ro := n.role.Load()
 	if ro.term == nil {
+		if ro.care != nil {
+			if a := ro.care.answer(r); a != nil {
+				return a, ""
+			}
+		}
 		return nil, ro.leader
 	}
 	return ro.term.report(ctx, r), ""
--- a/term.go
+++ b/term.go
@@ -74,6 +74,7 @@
 	close(t.ready)
 	n.start(func() { t.watchJobs(ctx, from) })
 	n.start(func() { t.watchCloud(ctx) })
+	n.start(func() { t.readCare(ctx) })
 	n.start(func() { t.watchPrices(ctx) })
 	tick := time.NewTicker(tickEvery.Duration())
 	defer tick.Stop()
@@ -299,6 +300,9 @@
 func (t *term) tick(ctx context.Context, now micros.Time) {
 	n := t.n
 	t.mgr.Tick(now)
+	if t.mgr.CareWanted() {
+		n.start(func() { t.readCare(ctx) })
+	}
 	t.reassign(now)
 	t.mgr.SetStateOK(t.mayPromise(now))
 	if t.mayPromise(now) {
@@ -494,6 +498,17 @@
 	t.post(ctx, func(now micros.Time) { t.mgr.JobChanged(now, t.n.clock.Wall(), rec, version) })
 }
 
+// readCare reads who renews worker leases in our stead.
+func (t *term) readCare(ctx context.Context) {
+	sent := t.n.clock.Now()
+	items, _, err := t.n.state.List(ctx, state.CarePrefix)
+	if err != nil {
+		t.n.log.Debug("the caretakers' records can't be read", "err", err)
+		return
+	}
+	t.post(ctx, func(now micros.Time) { t.mgr.Care(now, sent, items) })
+}
+
 // watchCloud reads the machine list again and again.
 func (t *term) watchCloud(ctx context.Context) {
 	often := max(micros.Second, micros.Seconds(4/t.n.set.Deployment.Cloud.RPS))
