--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -575,9 +575,26 @@
 	run("n-2-a", 40*micros.Second)
 	b.want(b.m.machines["n-2-a"].suspect, "")
 	run("n-2-a", 40*micros.Second)
+	b.want(b.m.machines["n-1-a"].suspect, "")
 	b.up("n-2-a")
 	b.want(b.grant("run-1", "n-2-a", 1), 0)
 	b.want(b.grant("run-1", "n-1-a", 1), 0) // silent by now
 	b.up("n-1-a")
 	b.want(b.grant("run-1", "n-1-a", 1), 1)
 }
+
+// A run that began under an earlier leader looks shorter than it was. It is no measure for
+// the runs after it, which would make their machine suspect.
+func TestRunsOfAnEarlierLeaderAreNoMeasure(t *testing.T) {
+	open := []wire.Item{item(state.OpenKey("run-1"), 5, record("run-1", 4, nil))}
+	var active []state.Placement
+	for i := range 2 {
+		active = append(active, state.Placement{Task: i, Machine: "n-1-a", Attempt: uint64(90 + i), Session: 1})
+	}
+	b := newBench(t, open, []wire.Item{item(state.ChunkKey("run-1", 0), 6, state.ChunkRecord{Active: active})})
+	b.report("n-1-a", token, 1, "run-1/0 90 running", "run-1/1 91 running")
+	b.wait(micros.Second / 2)
+	b.report("n-1-a", token, 1, "run-1/0 90 ended done", "run-1/1 91 ended done")
+	b.want(b.m.jobs["run-1"].runs, 0)
+	b.want(len(b.m.shown.finished), 0)
+}
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -170,7 +170,8 @@
 			j.tasks[n] = taskDone
 			j.done++
 			j.failed, j.fails = map[string]int{}, 0
-			if mine && a.runSince != 0 {
+			// Of a run that began under an earlier leader only the end is known.
+			if mine && a.ours && a.runSince != 0 {
 				m.noteSpeed(mc, j, now.Sub(a.runSince))
 				m.shown.finished = append(m.shown.finished, Finished{Job: j.rec.Job.ID, Class: j.rec.Job.Class, Team: j.rec.Job.Team,
 					Machine: mc.id, Run: now.Sub(a.runSince)})
@@ -211,7 +212,9 @@
 // job's other tasks took elsewhere.
 func (m *Manager) noteSpeed(mc *machine, j *job, run micros.Span) {
 	const tooSlow, enough, inARow = 3, 2, 2
-	if j.runs >= enough && run > tooSlow*j.ran/micros.Span(j.runs) {
+	// Begin and end are seen by reports only.
+	blur := 2 * m.cfg.Report
+	if j.runs >= enough && run > tooSlow*j.ran/micros.Span(j.runs)+blur {
 		mc.slow++
 	} else {
 		mc.slow = 0
