--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -33,6 +33,8 @@
 	Cancel  micros.Span
 	ListLag micros.Span
 	Tuning  settings.Tuning
+	// Directs bounds the direct orders that are out at once: each takes a connection.
+	Directs int
 	TxnOps  int
 	ValueKB float64
 }
@@ -174,6 +176,7 @@
 	spent       spending
 	care        care
 	direct      map[string]bool // machines for which there may be direct orders
+	directs     int             // direct orders that are out
 	shown       shown
 }
 
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -31,7 +31,7 @@
 func newBench(t *testing.T, open, chunks []wire.Item) *bench {
 	m, err := New(1000, Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUs: 4}}, Lease: lease,
 		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, ListLag: 3 * micros.Second,
-		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, TxnOps: 8, ValueKB: 4}, 0, open, chunks, json.Unmarshal)
+		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, Directs: 2, TxnOps: 8, ValueKB: 4}, 0, open, chunks, json.Unmarshal)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -598,3 +598,21 @@
 	b.want(b.m.jobs["run-1"].runs, 0)
 	b.want(len(b.m.shown.finished), 0)
 }
+
+// Direct orders are bounded; the rest follows as answers come in.
+func TestDirectOrdersAreBounded(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a", "n-2-a", "n-3-a")
+	b.job("run-1", 3, nil)
+	for _, m := range []string{"n-1-a", "n-2-a", "n-3-a"} {
+		b.grant("run-1", m, 1)
+	}
+	b.write()
+	out := b.m.Directs(b.now, true)
+	b.want(len(out), 2)
+	b.want(len(b.m.Directs(b.now, true)), 0)
+	b.m.DirectDone(b.now, out[0], false, nil)
+	out = b.m.Directs(b.now, true)
+	b.want(len(out), 1)
+	b.want(out[0].Machine, "n-3-a")
+}
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -79,9 +79,11 @@
 		return nil
 	}
 	var out []Direct
-	ids := slices.Sorted(maps.Keys(m.direct))
-	clear(m.direct)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(m.direct)) {
+		if m.directs >= m.cfg.Directs {
+			break // the rest stays marked; what is not sent goes with answers to reports
+		}
+		delete(m.direct, id)
 		mc := m.machines[id]
 		if mc == nil || !mc.up || mc.directOut || mc.addr == "" || mc.deleting {
 			continue
@@ -89,6 +91,7 @@
 		if mc.deaf != 0 {
 			if m.probeDue(now, mc) {
 				mc.probed, mc.directOut = now, true
+				m.directs++
 				out = append(out, Direct{Machine: id, Addr: mc.addr, Body: wire.Direct{Token: m.cfg.Token, Session: mc.session, Commands: []wire.Command{}}})
 			}
 			continue
@@ -113,6 +116,7 @@
 		}
 		if len(d.Body.Commands) > 0 {
 			mc.directOut = true
+			m.directs++
 			out = append(out, d)
 		}
 	}
@@ -133,6 +137,7 @@
 // DirectDone takes the outcome of a direct order: executed or refused with the
 // worker's report, or unknown when there is none.
 func (m *Manager) DirectDone(now micros.Time, d Direct, executed bool, r *wire.Report) (deposed bool) {
+	m.directs--
 	mc := m.machines[d.Machine]
 	if mc == nil {
 		return false
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -55,7 +55,7 @@
 // NewClient makes a client with few connections to each worker.
 func NewClient(dial Dialer) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: dial,
-		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
+		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}}
 }
 
 // Do sends orders. An error means that their outcome is unknown: they may take effect
--- a/term.go
+++ b/term.go
@@ -124,7 +124,7 @@
 			now := n.clock.Now()
 			t.mgr, err = manager.New(now, manager.Config{Token: t.token, Teams: d.Teams, Lease: n.set.Lease(),
 				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS), ListLag: micros.Seconds(d.Cloud.ListLagS),
-				Tuning: n.set.Tuning, TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB},
+				Tuning: n.set.Tuning, Directs: max(4, d.Limits.MaxConnections/16), TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB},
 				n.clock.Wall(), open, chunks, json.Unmarshal)
 			if err != nil {
 				n.log.Error("the records can't be used", "err", err)
