--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"saffronbend/internal/manager"
+	"saffronbend/internal/micros"
+	"saffronbend/internal/settings"
+	"saffronbend/wire"
+)
+
+const start micros.Time = 100_000_000
+
+// newFleet makes a fleet that is past its first seconds, in a cloud with two types.
+func newFleet(reserve float64) *Fleet {
+	f := New(0, Config{Token: 7, Lease: 10 * micros.Second, Report: 2 * micros.Second, Urgent: map[string]bool{"rush": true},
+		Tuning: settings.Tuning{MaxMachines: 2000, IdleReturn: 30 * micros.Second, BootPatience: 3, SilentReturn: 30 * micros.Second,
+			HireAhead: 10 * micros.Second, Reserve: reserve, Grace: 20 * micros.Second}})
+	f.SetTypes([]wire.MachineType{
+		{Name: "small", CPUs: 8, MemoryGB: 16, Price: 1, SpotPrice: 0.3, BootS: 40, Zones: []string{"a", "b"}},
+		{Name: "large", CPUs: 64, MemoryGB: 128, Price: 8, SpotPrice: 2.4, BootS: 40, Zones: []string{"a"}}})
+	return f
+}
+
+func jobView(id, class string, waiting int, cpus float64) *manager.JobView {
+	return &manager.JobView{ID: id, Class: class, Team: "red", CPUs: cpus, MemoryGB: 1, Image: "img", Spot: true,
+		Estimate: 20 * micros.Second, Waiting: waiting, Born: start, Since: start}
+}
+
+func rented(acts Actions) (n int, spot bool) {
+	spot = true
+	for _, h := range acts.Hires {
+		n += h.Count
+		spot = spot && h.Spot
+	}
+	return n, spot
+}
+
+// Hundreds of machines are asked for in few calls.
+func TestRentsInFewCalls(t *testing.T) {
+	f := newFleet(0)
+	acts := f.Handle(start, &manager.View{Now: start, Jobs: []*manager.JobView{jobView("run-1", "work", 1600, 4)}})
+	n, _ := rented(acts)
+	if n < 100 || len(acts.Hires) > 6 {
+		t.Errorf("%d machines in %d calls", n, len(acts.Hires))
+	}
+	for _, h := range acts.Hires {
+		if h.Count > 50 {
+			t.Errorf("%d machines in one call", h.Count)
+		}
+	}
+}
+
+// A task that depends on large machines chooses first: the room there is not counted on by
+// small ones, for which others can be had.
+func TestRoomOnScarceMachinesGoesToThoseThatDependOnIt(t *testing.T) {
+	f := newFleet(0)
+	large := &manager.MachineView{ID: "n-1", Type: "large", Zone: "a", Usable: true, Up: true, State: wire.MachineRunning,
+		CPUs: 64, MemoryGB: 128, Heard: start}
+	small := jobView("run-1", "work", 8, 4)
+	small.Priority = 2
+	acts := f.Handle(start, &manager.View{Now: start, Machines: []*manager.MachineView{large},
+		Jobs: []*manager.JobView{small, jobView("run-2", "work", 2, 32)}})
+	for _, h := range acts.Hires {
+		if h.Type == "large" && h.Count > 1 {
+			t.Errorf("rents %+v", h)
+		}
+	}
+	if n, _ := rented(acts); n == 0 {
+		t.Error("the small tasks were counted into the large machine's room")
+	}
+}
+
+func busy(left micros.Span) *manager.MachineView {
+	g := manager.LeaseGroup{Job: "run-0", CPUs: 4, MemoryGB: 1}
+	for i := range 2 {
+		g.Leases = append(g.Leases, manager.Lease{Attempt: uint64(i), Due: start.Add(left)})
+	}
+	return &manager.MachineView{ID: "n-1", Type: "small", Zone: "a", Usable: true, Up: true, State: wire.MachineRunning, MemoryGB: 14,
+		Heard: start, Leases: []manager.LeaseGroup{g}}
+}
+
+// A new machine takes 40 s to come up; work that ends well before makes room sooner.
+func TestUrgentTasksCountOnWorkThatEndsSoon(t *testing.T) {
+	for left, want := range map[micros.Span]bool{5 * micros.Second: false, 35 * micros.Second: true} {
+		f := newFleet(0)
+		acts := f.Handle(start, &manager.View{Now: start, Machines: []*manager.MachineView{busy(left)},
+			Jobs: []*manager.JobView{jobView("run-1", "rush", 2, 4)}})
+		if n, _ := rented(acts); (n > 0) != want {
+			t.Errorf("work that ends in %v: rents %d", left.Seconds(), n)
+		}
+	}
+}
+
+// For arrays to come, spot machines are rented ahead, and machines they need are kept.
+func TestRoomForWhatIsExpected(t *testing.T) {
+	f := newFleet(1)
+	v := &manager.View{Now: start}
+	for i := range 6 {
+		j := jobView(fmt.Sprintf("run-%d", i), "rush", 0, 4)
+		j.Active = 30
+		v.Jobs = append(v.Jobs, j)
+	}
+	n, spot := rented(f.Handle(start, v))
+	if n == 0 || !spot {
+		t.Errorf("rents %d, spot only: %v", n, spot)
+	}
+	idle := &manager.MachineView{ID: "n-1", Type: "small", Zone: "a", Spot: true, Usable: true, Up: true, State: wire.MachineRunning,
+		CPUs: 8, MemoryGB: 16, Heard: start, Idle: start.Add(-micros.Minute)}
+	v.Machines = []*manager.MachineView{idle}
+	if acts := f.Handle(start, v); len(acts.Return) > 0 {
+		t.Error("a machine that is needed for what is expected was returned")
+	}
+	if acts := newFleet(0).Handle(start, v); len(acts.Return) != 1 {
+		t.Error("an idle machine was kept though nothing is expected")
+	}
+}
+
+// A machine whose reports arrive, but which does not hear, is returned in a bounded time.
+func TestDeafMachineIsReturned(t *testing.T) {
+	f := newFleet(0)
+	m := busy(5 * micros.Second)
+	m.Usable, m.Deaf = false, start.Add(-20*micros.Second)
+	v := &manager.View{Now: start, Machines: []*manager.MachineView{m}}
+	if acts := f.Handle(start, v); len(acts.Return) > 0 {
+		t.Error("returned too soon")
+	}
+	v.Now = start.Add(6 * micros.Second)
+	m.Heard = v.Now
+	if acts := f.Handle(v.Now, v); len(acts.Return) != 1 {
+		t.Error("not returned")
+	}
+}
--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -91,7 +91,7 @@
 	}
 	m.next++
 	a := &attempt{job: j, task: j.cursor, id: m.cfg.Token<<attemptBits | m.next, machine: mc, session: mc.session,
-		ours: true, began: now, leaseEnd: now.Add(ask.Lease)}
+		ours: true, kept: mc.keep == ask.Job, began: now, leaseEnd: now.Add(ask.Lease)}
 	m.place(a)
 	m.touch(now, j, a.task, true)
 	// Room was kept for the job until the machine had as many of its tasks as it takes.
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -91,6 +91,7 @@
 	session uint64
 
 	durable bool
+	kept    bool   // placed where room had been kept for its job
 	ours    bool   // granted in this term
 	sentSeq uint64 // report whose answer last carried the launch
 	// directOut: a direct launch awaits its answer. directLost: its outcome is
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -616,3 +616,23 @@
 	b.want(len(out), 1)
 	b.want(out[0].Machine, "n-3-a")
 }
+
+// What was placed where room had been kept for it is not displaced again.
+func TestKeptRoomIsNotTakenAgain(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 2, nil)
+	b.wait(micros.Minute)
+	b.up("n-1-a")
+	b.m.KeepRoom(b.now)
+	b.want(b.grant("run-1", "n-1-a", 2), 2)
+	b.job("run-2", 1, func(j *wire.Job) { j.Urgency = "high" })
+	b.job("run-3", 2, nil)
+	b.up("n-2-a")
+	b.grant("run-3", "n-2-a", 2)
+	b.wait(2 * micros.Second)
+	b.up("n-1-a", "n-2-a")
+	b.m.Preempt(b.now, func() bool { return false })
+	b.want(len(b.m.jobs["run-1"].active), 2)
+	b.want(len(b.m.jobs["run-3"].active), 1)
+}
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -75,6 +75,8 @@
 			switch {
 			case a.stop:
 				y.room.add(jb, 1)
+			case a.kept:
+				// It has waited long for this room.
 			case a.state != wire.TaskRunning || jb.CheckpointS > 0: // else its work would be lost
 				y.victims = append(y.victims, a)
 			}
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"saffronbend/internal/manager"
+	"saffronbend/internal/micros"
+	"saffronbend/internal/settings"
+	"saffronbend/wire"
+)
+
+const now micros.Time = 1_000_000_000
+
+func newScheduler() *Scheduler {
+	s := New("c0", settings.Tuning{MinLocality: 0.5, Skip: 10 * micros.Second, History: 10, Slack: 5 * micros.Second,
+		FirstLease: 100 * micros.Second, Grace: 20 * micros.Second, KeepAfter: 45 * micros.Second})
+	s.SetTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 16, FetchGBPS: 0.1, Zones: []string{"a"}}})
+	return s
+}
+
+func machineView(id string, cpus float64, images ...string) *manager.MachineView {
+	return &manager.MachineView{ID: id, Type: "small", Zone: "a", Usable: true, CPUs: cpus, MemoryGB: 16, Images: images}
+}
+
+func jobView(id string, waiting int) *manager.JobView {
+	return &manager.JobView{ID: id, Team: "red", CPUs: 8, MemoryGB: 1, Image: "img", ImageGB: 1, Waiting: waiting, Priority: 1,
+		Estimate: 10 * micros.Second, Born: now, Since: now}
+}
+
+// asked gives what a round on a view asks for, such as "run-1 n-1 x2" or "run-1 n-1 after 7".
+func asked(s *Scheduler, machines []*manager.MachineView, jobs ...*manager.JobView) []string {
+	s.View(now, &manager.View{Token: 1, Version: 1, Now: now, Assign: map[string]string{"red": "c0"}, Machines: machines, Jobs: jobs})
+	var out []string
+	for _, r := range s.Round(now, func() bool { return false }) {
+		for _, a := range r.Asks {
+			if a.Wait != 0 {
+				out = append(out, fmt.Sprintf("%s %s after %d", a.Job, a.Machine, a.Wait))
+			} else {
+				out = append(out, fmt.Sprintf("%s %s x%d", a.Job, a.Machine, a.Count))
+			}
+		}
+	}
+	return out
+}
+
+func want(t *testing.T, got []string, wants ...string) {
+	t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(wants) {
+		t.Errorf("got %v, want %v", got, wants)
+	}
+}
+
+// A job that is late already, and of low priority, goes first once it has waited long.
+func TestLongWaitingGoesFirst(t *testing.T) {
+	urgent, late := jobView("run-1", 1), jobView("run-2", 1)
+	urgent.Priority = 3
+	late.Due = now.Add(-micros.Minute)
+	late.Since = now.Add(-40 * micros.Second)
+	free := []*manager.MachineView{machineView("n-1", 8, "img")}
+	want(t, asked(newScheduler(), free, urgent, late), "run-1 n-1 x1")
+	late.Since = now.Add(-50 * micros.Second)
+	want(t, asked(newScheduler(), free, urgent, late), "run-2 n-1 x1")
+}
+
+// Room that is kept for a job is for that job alone.
+func TestKeptRoomIsForOneJob(t *testing.T) {
+	m := machineView("n-1", 8, "img")
+	m.Keep = "run-2"
+	want(t, asked(newScheduler(), []*manager.MachineView{m}, jobView("run-1", 1)))
+	want(t, asked(newScheduler(), []*manager.MachineView{m}, jobView("run-1", 1), jobView("run-2", 1)), "run-2 n-1 x1")
+}
+
+// The design's order: a free machine with the image, then the place after a lease that ends
+// before a cold fetch would, then the fetch.
+func TestImageThenWaitThenFetch(t *testing.T) {
+	busy := machineView("n-2", 0, "img")
+	busy.Leases = []manager.LeaseGroup{{Job: "run-9", CPUs: 8, MemoryGB: 1, Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(5 * micros.Second)}}}}
+	ms := []*manager.MachineView{machineView("n-1", 8, "img"), busy, machineView("n-3", 8)}
+	want(t, asked(newScheduler(), ms, jobView("run-1", 3)), "run-1 n-1 x1", "run-1 n-2 after 7", "run-1 n-3 x1")
+	busy.Leases[0].Leases[0].Ends = now.Add(15 * micros.Second) // a fetch takes 10 s
+	want(t, asked(newScheduler(), ms, jobView("run-1", 2)), "run-1 n-1 x1", "run-1 n-3 x1")
+}
+
+// The place of a lease's waiter that the job has already is not asked for again, and
+// another's not at all.
+func TestOneWaiterForALease(t *testing.T) {
+	for waiter, asks := range map[string][]string{"run-1": nil, "run-8": {"run-1 n-3 x1"}} {
+		busy := machineView("n-2", 0, "img")
+		busy.Leases = []manager.LeaseGroup{{Job: "run-9", CPUs: 8, MemoryGB: 1,
+			Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(5 * micros.Second), Waiter: waiter, Until: now.Add(25 * micros.Second)}}}}
+		s := newScheduler()
+		s.tuning.MinLocality = 0
+		want(t, asked(s, []*manager.MachineView{busy, machineView("n-3", 8)}, jobView("run-1", 1)), asks...)
+	}
+}
+
+// A job below the minimum level is skipped while a lease may still end in time, and not
+// longer than the skip.
+func TestSkipIsBounded(t *testing.T) {
+	busy := machineView("n-2", 0, "img")
+	busy.Leases = []manager.LeaseGroup{{Job: "run-9", CPUs: 8, MemoryGB: 1,
+		Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(8 * micros.Second), Waiter: "run-8", Until: now.Add(28 * micros.Second)}}}}
+	ms := []*manager.MachineView{busy, machineView("n-3", 8)}
+	s := newScheduler()
+	want(t, asked(s, ms, jobView("run-1", 1)))
+	s.skipped["run-1"] = now.Add(-11 * micros.Second)
+	want(t, asked(s, ms, jobView("run-1", 1)), "run-1 n-3 x1")
+	busy.Leases[0].Leases[0].Ends = now.Add(15 * micros.Second)
+	want(t, asked(newScheduler(), ms, jobView("run-1", 1)), "run-1 n-3 x1")
+}
+
+// A round that runs out of time goes on with the next job.
+func TestRoundGoesOn(t *testing.T) {
+	s := newScheduler()
+	jobs := []*manager.JobView{jobView("run-1", 1), jobView("run-2", 1), jobView("run-3", 1)}
+	s.View(now, &manager.View{Token: 1, Version: 1, Now: now, Assign: map[string]string{"red": "c0"}, Jobs: jobs,
+		Machines: []*manager.MachineView{machineView("n-1", 8, "img"), machineView("n-2", 8, "img"), machineView("n-3", 8, "img")}})
+	var got []string
+	for range 3 {
+		n := 0
+		for _, r := range s.Round(now, func() bool { n++; return n > 1 }) {
+			got = append(got, r.Asks[0].Job)
+		}
+	}
+	want(t, got, "run-1", "run-2", "run-3")
+	if s.Unfinished() {
+		t.Error("the round is not over")
+	}
+}
