--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -2,19 +2,17 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"saffronbend/internal/call"
 	"saffronbend/wire"
 )
 
@@ -31,11 +29,8 @@
 	lim  *rate.Limiter
 }
 
-// Dialer opens connections.
-type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // New makes a client.
-func New(dial Dialer, addr string, rps float64) *Client {
+func New(dial call.Dialer, addr string, rps float64) *Client {
 	tr := &http.Transport{DialContext: dial, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 4,
 		IdleConnTimeout: time.Minute, DisableCompression: true}
 	return &Client{base: "http://" + addr, http: &http.Client{Transport: tr},
@@ -54,28 +49,11 @@
 	if err := c.lim.Wait(ctx); err != nil {
 		return ErrUnavailable
 	}
-	var body io.Reader
-	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return fmt.Errorf("cloud: encode: %w", err)
-		}
-		body = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
-	if err != nil {
-		return fmt.Errorf("cloud: %w", err)
-	}
-	resp, err := c.http.Do(req)
+	status, data, err := call.JSON(ctx, c.http, method, c.base+path, in)
 	if err != nil {
 		return fmt.Errorf("cloud: %w", err)
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return fmt.Errorf("cloud: read: %w", err)
-	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
 		var e wire.Error
@@ -86,7 +64,7 @@
 	case http.StatusTooManyRequests:
 		return ErrUnavailable
 	default:
-		return fmt.Errorf("cloud: status %d", resp.StatusCode)
+		return fmt.Errorf("cloud: status %d", status)
 	}
 	if out != nil {
 		if err := json.Unmarshal(data, out); err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -143,8 +143,7 @@
 	if n <= 0 {
 		return 0
 	}
-	jb := wire.Job{CPUs: w.CPUs, GPUs: w.GPUs, MemoryGB: w.MemoryGB, Types: w.Types, Zone: w.Zone, Spot: w.Spot}
-	if !jb.Allows(b.typ, b.zone, b.spot) {
+	if !w.Allows(b.typ, b.zone, b.spot) {
 		return 0
 	}
 	k := float64(n)
@@ -292,10 +291,9 @@
 
 // choices is how many types of machines can take a task of the job.
 func (f *Fleet) choices(j *manager.JobView) int {
-	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
 	n := 0
 	for i := range f.types {
-		if slices.ContainsFunc(f.types[i].Zones, func(z string) bool { return jb.Allows(&f.types[i], z, false) }) {
+		if slices.ContainsFunc(f.types[i].Zones, func(z string) bool { return j.Allows(&f.types[i], z, false) }) {
 			n++
 		}
 	}
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -157,6 +157,12 @@
 	return max(0, n)
 }
 
+// Allows tells whether a task of the job may run on a machine of the type, in the zone.
+func (j *JobView) Allows(t *wire.MachineType, zone string, spot bool) bool {
+	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
+	return jb.Allows(t, zone, spot)
+}
+
 // Finished is a run that a scheduler may learn from.
 type Finished struct {
 	Job     string      `json:"job"`
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,12 +3,10 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +14,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"saffronbend/internal/call"
 	"saffronbend/internal/manager"
 )
 
@@ -138,11 +137,8 @@
 	tr           *http.Transport
 }
 
-// Dialer opens connections.
-type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // NewClient makes a client; Close ends its connections.
-func NewClient(dial Dialer, addr, member string, token uint64) *Client {
+func NewClient(dial call.Dialer, addr, member string, token uint64) *Client {
 	tr := &http.Transport{DialContext: dial, Protocols: protocols(), IdleConnTimeout: 10 * time.Second}
 	return &Client{addr: addr, member: member, token: token, tr: tr, http: &http.Client{Transport: tr}}
 }
@@ -203,25 +199,15 @@
 func (c *Client) post(ctx context.Context, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
-	data, err := json.Marshal(in)
-	if err != nil {
-		return fmt.Errorf("peer: encode: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addr+path, bytes.NewReader(data))
+	status, data, err := call.JSON(ctx, c.http, http.MethodPost, "http://"+c.addr+path, in)
 	if err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return fmt.Errorf("peer: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, resp.Body)
+	if status != http.StatusOK {
 		return ErrNotLeader
 	}
 	if out != nil {
-		if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		if err := json.Unmarshal(data, out); err != nil {
 			return fmt.Errorf("peer: answer: %w", err)
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -492,8 +492,7 @@
 	if m.typ == nil || m.Keep != "" && m.Keep != j.ID || !s.zoneAllows(j, m.Zone) {
 		return false
 	}
-	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
-	return jb.Allows(m.typ, m.Zone, m.Spot) && !slices.Contains(j.Avoid, m.ID)
+	return j.Allows(m.typ, m.Zone, m.Spot) && !slices.Contains(j.Avoid, m.ID)
 }
 
 func fitsAfter(j *queued, m *machine, l manager.LeaseGroup) bool {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -2,13 +2,10 @@
 package state
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"saffronbend/internal/call"
 	"saffronbend/wire"
 )
 
@@ -42,11 +40,8 @@
 	writes *rate.Limiter
 }
 
-// Dialer opens connections.
-type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // New makes a client. It starts no goroutine of its own.
-func New(dial Dialer, addr string, rps, writeRPS float64) *Client {
+func New(dial call.Dialer, addr string, rps, writeRPS float64) *Client {
 	transport := func(conns int) *http.Transport {
 		return &http.Transport{DialContext: dial, MaxConnsPerHost: conns,
 			MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true}
@@ -67,37 +62,20 @@
 }
 
 func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, in, out any) (int, error) {
-	var body io.Reader
-	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return 0, fmt.Errorf("state: encode: %w", err)
-		}
-		body = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	status, data, err := call.JSON(ctx, hc, method, c.base+path, in)
 	if err != nil {
 		return 0, fmt.Errorf("state: %w", err)
 	}
-	resp, err := hc.Do(req)
-	if err != nil {
-		return 0, fmt.Errorf("state: %w", err)
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, fmt.Errorf("state: read: %w", err)
-	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return resp.StatusCode, ErrUnavailable
+		return status, ErrUnavailable
 	}
-	if out != nil && (resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusConflict) {
+	if out != nil && (status == http.StatusOK || status == http.StatusConflict) {
 		if err := json.Unmarshal(data, out); err != nil {
 			return 0, fmt.Errorf("state: answer: %w", err)
 		}
 	}
-	return resp.StatusCode, nil
+	return status, nil
 }
 
 func (c *Client) do(ctx context.Context, timeout time.Duration, method, path string, in, out any) (int, error) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -2,17 +2,16 @@
 package worker
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
+	"saffronbend/internal/call"
 	"saffronbend/wire"
 )
 
@@ -49,11 +48,8 @@
 // Client sends direct orders.
 type Client struct{ http *http.Client }
 
-// Dialer opens connections.
-type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // NewClient makes a client with few connections to each worker.
-func NewClient(dial Dialer) *Client {
+func NewClient(dial call.Dialer) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: dial,
 		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}}
 }
@@ -63,29 +59,16 @@
 func (c *Client) Do(ctx context.Context, addr string, d wire.Direct) (executed bool, r *wire.Report, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	data, err := json.Marshal(d)
-	if err != nil {
-		return false, nil, fmt.Errorf("worker: encode: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+wire.PathCommands, bytes.NewReader(data))
-	if err != nil {
-		return false, nil, fmt.Errorf("worker: %w", err)
-	}
-	resp, err := c.http.Do(req)
+	status, body, err := call.JSON(ctx, c.http, http.MethodPost, "http://"+addr+wire.PathCommands, d)
 	if err != nil {
 		return false, nil, fmt.Errorf("worker: %w", err)
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return false, nil, fmt.Errorf("worker: read: %w", err)
-	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
-		return false, nil, fmt.Errorf("worker: status %d", resp.StatusCode)
+	if status != http.StatusOK && status != http.StatusConflict {
+		return false, nil, fmt.Errorf("worker: status %d", status)
 	}
 	r = new(wire.Report)
 	if err := json.Unmarshal(body, r); err != nil {
 		return false, nil, fmt.Errorf("worker: answer: %w", err)
 	}
-	return resp.StatusCode == http.StatusOK, r, nil
+	return status == http.StatusOK, r, nil
 }
