--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -107,7 +107,7 @@
 		if a.runSince != 0 {
 			since = a.runSince
 		}
-		ends = append(ends, end{max(now, since.Add(micros.Seconds(a.job.rec.Job.EstimateS))), a})
+		ends = append(ends, end{max(now, since.Add(m.estimate(a.job))), a})
 	}
 	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.a.id, b.a.id)) })
 	for _, e := range ends {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -175,6 +175,7 @@
 	// preemptFrom is the job with which displacement goes on.
 	preemptFrom string
 	spent       spending
+	guesses     map[string]float64 // by class: logarithm of run time over estimate
 	care        care
 	direct      map[string]bool // machines for which there may be direct orders
 	directs     int             // direct orders that are out
@@ -205,7 +206,7 @@
 func New(now micros.Time, cfg Config, wall int64, open []wire.Item, chunks []wire.Item, decode func([]byte, any) error) (*Manager, error) {
 	m := &Manager{cfg: cfg, jobs: map[string]*job{}, removed: map[string]uint64{}, machines: map[string]*machine{},
 		gone: map[string]bool{}, types: map[string]*wire.MachineType{}, assign: map[string]string{},
-		teams: map[string]*team{}, stateOK: true, direct: map[string]bool{},
+		teams: map[string]*team{}, stateOK: true, direct: map[string]bool{}, guesses: map[string]float64{},
 		shown: shown{touched: map[string]bool{}, jobsHit: map[string]bool{}, changed: true}}
 	for _, t := range cfg.Teams {
 		m.teams[t.Name] = &team{Team: t}
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -636,3 +636,31 @@
 	b.want(len(b.m.jobs["run-1"].active), 2)
 	b.want(len(b.m.jobs["run-3"].active), 1)
 }
+
+// Where a class's estimates are mostly too high, those of its next jobs are corrected;
+// a job whose own tasks are done in part goes by these.
+func TestEstimatesAreCorrected(t *testing.T) {
+	b := newBench(t, nil, nil)
+	next := first
+	for i := range 12 {
+		id := fmt.Sprintf("run-%d", i)
+		b.job(id, 1, func(j *wire.Job) { j.Class, j.EstimateS = "rush", 40 })
+		b.up("n-1-a")
+		b.want(b.grant(id, "n-1-a", 1), 1)
+		b.write()
+		b.report("n-1-a", token, 1)
+		b.report("n-1-a", token, 1, fmt.Sprintf("%s/0 %d running", id, next))
+		b.wait(10 * micros.Second)
+		b.report("n-1-a", token, 1, fmt.Sprintf("%s/0 %d ended done", id, next))
+		b.write()
+		next++
+	}
+	b.job("run-90", 1, func(j *wire.Job) { j.Class, j.EstimateS = "rush", 80 })
+	b.job("run-91", 1, func(j *wire.Job) { j.Class, j.EstimateS = "other", 80 })
+	for _, jv := range b.m.View(b.now).Jobs {
+		s := jv.Estimate.Seconds()
+		if jv.ID == "run-90" && (s < 20 || s > 35) || jv.ID == "run-91" && s != 80 {
+			t.Errorf("%s is expected to run %v s", jv.ID, s)
+		}
+	}
+}
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -1,6 +1,8 @@
 package manager
 
 import (
+	"math"
+
 	"saffronbend/internal/micros"
 	"saffronbend/wire"
 )
@@ -187,6 +189,9 @@
 		} else if a != nil {
 			m.stop(now, a, 0)
 		}
+		if j.done == len(j.tasks) {
+			m.learnGuess(j)
+		}
 		m.settle(now, j)
 		return
 	}
@@ -208,6 +213,29 @@
 	}
 }
 
+// learnGuess learns from a job that is done how far its class's estimates are off: on some
+// days they are mostly too high or mostly too low. A job counts once, however many
+// tasks it has, since they share their estimate.
+func (m *Manager) learnGuess(j *job) {
+	jb := &j.rec.Job
+	if j.runs == 0 || jb.EstimateS <= 0 {
+		return
+	}
+	const weight, most = 0.15, 1.5
+	ratio := math.Log(max(0.1, j.ran.Seconds()/float64(j.runs)) / jb.EstimateS)
+	old := m.guesses[jb.Class]
+	m.guesses[jb.Class] = old + weight*(min(most, max(-most, ratio))-old)
+}
+
+// estimate is a job's expected run time: what its tasks took where some are done, or else
+// the owner's estimate in the light of what the class's were worth.
+func (m *Manager) estimate(j *job) micros.Span {
+	if j.runs >= 3 {
+		return j.ran / micros.Span(j.runs)
+	}
+	return micros.Seconds(j.rec.Job.EstimateS).Scale(math.Exp(m.guesses[j.rec.Job.Class]))
+}
+
 // noteSpeed suspects a machine that twice in a row took far longer for a task than the
 // job's other tasks took elsewhere.
 func (m *Manager) noteSpeed(mc *machine, j *job, run micros.Span) {
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -234,7 +234,7 @@
 		if a.runSince != 0 {
 			since = a.runSince
 		}
-		l.Due = since.Add(micros.Seconds(jb.EstimateS))
+		l.Due = since.Add(m.estimate(a.job))
 		mv.Leases[i].Leases = append(mv.Leases[i].Leases, l)
 	}
 	return mv
@@ -256,7 +256,7 @@
 	jb := &j.rec.Job
 	jv := &JobView{ID: jb.ID, Class: jb.Class, Team: jb.Team, Priority: jb.Priority(), CPUs: jb.CPUs, GPUs: jb.GPUs,
 		MemoryGB: jb.MemoryGB, Image: jb.Image, ImageGB: jb.ImageGB, Types: jb.Types, Zone: jb.Zone, Spot: jb.Spot,
-		OneZone: jb.OneZone, Gang: jb.Kind == wire.KindGang, Estimate: micros.Seconds(jb.EstimateS), Waiting: j.waiting, Active: len(j.active),
+		OneZone: jb.OneZone, Gang: jb.Kind == wire.KindGang, Estimate: m.estimate(j), Waiting: j.waiting, Active: len(j.active),
 		Done: j.done, NotBefore: j.notBefore, Born: j.born, Due: j.due, Since: j.waitSince, arrival: j.arrival}
 	if jb.Spread {
 		jv.ZoneMax = (jb.Tasks + 1) / 2
