An attempt launched directly that ended without a result is not cleared

A copy of a direct launch would start a cleared attempt again while its task is elsewhere. Done tasks go nowhere else and are cleared as before, so that reports stay short.

--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -95,19 +95,20 @@
 	ours    bool   // granted in this term
 	sentSeq uint64 // report whose answer last carried the launch
 	// directOut: a direct launch awaits its answer. directLost: its outcome is
-	// unknown, and it may take effect at any time while token and session last.
-	directOut, directLost bool
-	listed                bool
-	state                 string
-	runSince              micros.Time
-	began                 micros.Time
-	leaseEnd              micros.Time
-	waiter                string
-	waiterUntil           micros.Time
-	stop                  bool
-	stopGrace             float64
-	stopAt                micros.Time
-	stopSent              micros.Time
+	// unknown, and it may take effect at any time while token and session last. direct:
+	// it was launched so; a copy of that may come at any time, too.
+	directOut, directLost, direct bool
+	listed                        bool
+	state                         string
+	runSince                      micros.Time
+	began                         micros.Time
+	leaseEnd                      micros.Time
+	waiter                        string
+	waiterUntil                   micros.Time
+	stop                          bool
+	stopGrace                     float64
+	stopAt                        micros.Time
+	stopSent                      micros.Time
 }
 
 func (a *attempt) name() string { return wire.TaskName(a.job.rec.Job.ID, a.task) }
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -664,3 +664,16 @@
 		}
 	}
 }
+
+// A copy of a direct launch that was carried out may come again: an attempt that ended
+// without a result is not cleared, since its task may be elsewhere by then.
+func TestCopyOfADirectLaunch(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	d := b.m.Directs(b.now, true)[0]
+	b.seq++
+	b.m.DirectDone(b.now, d, true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token,
+		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}}})
+	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended halted", first)), "")
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -110,7 +110,7 @@
 				a.stopSent = now
 				d.Body.Commands = append(d.Body.Commands, stopCommand(name, a.id, a.stopGrace))
 			case launch && a.ours && !a.stop && !a.listed && a.sentSeq == 0 && !a.directLost:
-				a.directOut = true
+				a.directOut, a.direct = true, true
 				d.Body.Commands = append(d.Body.Commands, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id})
 			}
 		}
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -184,7 +184,7 @@
 		}
 		m.noteImage(now, mc, &j.rec.Job, true)
 		if mine {
-			m.bury(a)
+			m.bury(a, true)
 			m.drop(now, a)
 		} else if a != nil {
 			m.stop(now, a, 0)
@@ -201,14 +201,16 @@
 	if tr.Why == wire.WhyError {
 		m.noteFailure(now, mc, j)
 	}
-	m.bury(a)
+	m.bury(a, false)
 	m.drop(now, a)
 }
 
-// bury remembers an exited attempt whose direct launch may yet arrive. The worker must
-// go on knowing it: once cleared, the late launch would start it again.
-func (m *Manager) bury(a *attempt) {
-	if a.directLost || a.directOut {
+// bury remembers an exited attempt whose direct launch may yet arrive, or arrive again. The
+// worker must go on knowing it: once cleared, the late launch would start it again, while
+// its task may be elsewhere. A task that is done goes nowhere else; it is cleared once its
+// launch is known to have arrived, so that reports stay short.
+func (m *Manager) bury(a *attempt, done bool) {
+	if a.directLost || a.directOut || a.direct && !done {
 		a.machine.tombs[a.id] = true
 	}
 }
