--- a/term.go
+++ b/term.go
@@ -239,7 +239,7 @@
 			t.reassign(now)
 		})
 	})
-	return func(since uint64) (u *manager.Update) {
+	return func(since uint64) *manager.Update {
 		select {
 		case <-s.news:
 		case <-ctx.Done():
@@ -247,7 +247,11 @@
 		case <-t.done:
 			return nil
 		}
-		t.call(ctx, func(now micros.Time) { u = t.mgr.Update(now, since) })
+		// A call that was given up may still be carried out, and then writes u.
+		var u *manager.Update
+		if !t.call(ctx, func(now micros.Time) { u = t.mgr.Update(now, since) }) {
+			return nil
+		}
 		return u
 	}
 }
