Say once what was written several times; remove what was set and never read

Read over as a whole: how many tasks fit was counted in five places, which jobs wait too long in two, when a run should end in two, attempts were ordered in two, stop orders made in two, the end of a write and the wait for a term's beginning in two each.

--- a/caretaker.go
+++ b/caretaker.go
@@ -116,8 +116,7 @@
 	a := &wire.ReportAnswer{Token: c.token, Commands: []wire.Command{}}
 	for _, t := range r.Tasks {
 		if id, _, ok := wire.SplitTask(t.Task); ok && over[id] && t.State != wire.TaskExited {
-			grace := 0.0
-			a.Commands = append(a.Commands, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
+			a.Commands = append(a.Commands, wire.StopCommand(t.Task, t.Attempt, 0))
 		}
 	}
 	return a
--- a/follow.go
+++ b/follow.go
@@ -127,7 +127,7 @@
 		if types := n.Types(); types != nil {
 			s.SetTypes(types)
 		}
-		s.View(n.clock.Now(), o.view)
+		s.View(o.view)
 		for again := true; again; again = s.Unfinished() && s.Current() && len(p.views) == 0 {
 			requests := s.Round(n.clock.Now(), spent(n.set.Tuning.RoundBudget))
 			// An empty request is a sign of life for the leader.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,15 +131,7 @@
 	default:
 		have.add(b.later.cpus, b.later.gpus, b.later.mem)
 	}
-	n := w.n
-	fit := func(have, each float64) {
-		if each > 0 {
-			n = min(n, int((have+1e-9)/each))
-		}
-	}
-	fit(have.cpus, w.CPUs)
-	fit(have.gpus, w.GPUs)
-	fit(have.mem, w.MemoryGB)
+	n := manager.Fit(manager.Fit(manager.Fit(w.n, have.cpus, w.CPUs), have.gpus, w.GPUs), have.mem, w.MemoryGB)
 	if n <= 0 {
 		return 0
 	}
--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -91,7 +91,7 @@
 	}
 	m.next++
 	a := &attempt{job: j, task: j.cursor, id: m.cfg.Token<<attemptBits | m.next, machine: mc, session: mc.session,
-		ours: true, kept: mc.keep == ask.Job, began: now, leaseEnd: now.Add(ask.Lease)}
+		ours: true, kept: mc.keep == ask.Job, leaseEnd: now.Add(ask.Lease)}
 	m.place(a)
 	m.touch(now, j, a.task, true)
 	// Room was kept for the job until the machine had as many of its tasks as it takes.
@@ -112,13 +112,12 @@
 		return 0
 	}
 	n := wire.MaxTasks
-	fit := func(limit, used, each float64) {
-		if limit > 0 && each > 0 {
-			n = min(n, int((limit-used)/each+1e-9))
-		}
+	if t.CPUsMax > 0 {
+		n = Fit(n, t.CPUsMax-t.cpus, j.rec.Job.CPUs)
+	}
+	if t.GPUsMax > 0 {
+		n = Fit(n, t.GPUsMax-t.gpus, j.rec.Job.GPUs)
 	}
-	fit(t.CPUsMax, t.cpus, j.rec.Job.CPUs)
-	fit(t.GPUsMax, t.gpus, j.rec.Job.GPUs)
 	return max(0, n)
 }
 
--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -36,13 +36,7 @@
 		kept++
 		mine[mc.keep] += m.holds(mc, &m.jobs[mc.keep].rec.Job)
 	}
-	var starved []*job
-	for _, id := range m.order {
-		j := m.jobs[id]
-		if j.over == "" && j.waiting > 0 && now >= j.notBefore && m.room(j) > 0 && now.Sub(j.waitSince) > m.cfg.Tuning.KeepAfter {
-			starved = append(starved, j)
-		}
-	}
+	starved := m.waitingFor(now, m.cfg.Tuning.KeepAfter)
 	slices.SortStableFunc(starved, func(a, b *job) int { return cmp.Compare(a.waitSince, b.waitSince) })
 	for _, j := range starved[:min(len(starved), keepFor)] {
 		for kept < max(1, usable/keepShare) && mine[j.rec.Job.ID] < min(j.waiting, m.room(j)) {
@@ -61,16 +55,7 @@
 
 // holds is how many tasks of a job an empty machine takes.
 func (m *Manager) holds(mc *machine, jb *wire.Job) int {
-	n := wire.MaxTasks
-	fit := func(have, each float64) {
-		if each > 0 {
-			n = min(n, int(have/each+1e-9))
-		}
-	}
-	fit(mc.spec.CPUs, jb.CPUs)
-	fit(mc.spec.GPUs, jb.GPUs)
-	fit(mc.spec.MemoryGB, jb.MemoryGB)
-	return n
+	return Fit(Fit(Fit(wire.MaxTasks, mc.spec.CPUs, jb.CPUs), mc.spec.GPUs, jb.GPUs), mc.spec.MemoryGB, jb.MemoryGB)
 }
 
 // soonest is the machine on which a task of the job should find room first, by the
@@ -103,11 +88,7 @@
 	}
 	var ends []end
 	for _, a := range mc.attempts {
-		since := now
-		if a.runSince != 0 {
-			since = a.runSince
-		}
-		ends = append(ends, end{max(now, since.Add(m.estimate(a.job))), a})
+		ends = append(ends, end{max(now, m.expectedEnd(now, a)), a})
 	}
 	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.a.id, b.a.id)) })
 	for _, e := range ends {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -9,6 +9,7 @@
 package manager
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -101,13 +102,11 @@
 	listed                        bool
 	state                         string
 	runSince                      micros.Time
-	began                         micros.Time
 	leaseEnd                      micros.Time
 	waiter                        string
 	waiterUntil                   micros.Time
 	stop                          bool
 	stopGrace                     float64
-	stopAt                        micros.Time
 	stopSent                      micros.Time
 }
 
@@ -284,7 +283,7 @@
 		mc := m.machine(now, p.Machine)
 		// A rebuilt lease has no end time and counts as the first lease.
 		a := &attempt{job: j, task: p.Task, id: p.Attempt, machine: mc, session: p.Session, durable: true,
-			began: now, leaseEnd: now.Add(m.cfg.Tuning.FirstLease)}
+			leaseEnd: now.Add(m.cfg.Tuning.FirstLease)}
 		m.place(a)
 	}
 	return nil
@@ -408,18 +407,12 @@
 // decisions do not depend on the order of a map.
 func sorted[K comparable](as map[K]*attempt) []*attempt {
 	out := slices.Collect(maps.Values(as))
-	slices.SortFunc(out, func(a, b *attempt) int {
-		if a.id != b.id {
-			if a.id < b.id {
-				return -1
-			}
-			return 1
-		}
-		return a.task - b.task
-	})
+	slices.SortFunc(out, byNumber)
 	return out
 }
 
+func byNumber(a, b *attempt) int { return cmp.Or(cmp.Compare(a.id, b.id), a.task-b.task) }
+
 // stop wants an attempt to end. One whose launch never left ends at once.
 func (m *Manager) stop(now micros.Time, a *attempt, grace float64) {
 	if a.ours && a.sentSeq == 0 && !a.directOut && !a.directLost && !a.listed {
@@ -427,7 +420,7 @@
 		return
 	}
 	if !a.stop || grace < a.stopGrace {
-		a.stop, a.stopGrace, a.stopAt, a.stopSent = true, grace, now, 0
+		a.stop, a.stopGrace, a.stopSent = true, grace, 0
 		m.direct[a.machine.id] = true
 	}
 }
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		if _, stray := mc.strays[tr.Task]; stray {
-			cmds = append(cmds, stopCommand(tr.Task, tr.Attempt, 0))
+			cmds = append(cmds, wire.StopCommand(tr.Task, tr.Attempt, 0))
 		}
 	}
 	for _, a := range sorted(mc.attempts) {
@@ -43,14 +43,14 @@
 		switch {
 		case a.listed && a.stop:
 			a.stopSent = now
-			cmds = append(cmds, stopCommand(name, a.id, a.stopGrace))
+			cmds = append(cmds, wire.StopCommand(name, a.id, a.stopGrace))
 		case !a.listed && a.stop && a.directLost:
 			// The late launch must find the attempt known: it is started and stopped in
 			// the same answer and never cleared. Only while the job may still run.
 			if a.job.over == "" || now < a.job.overAt.Add(m.cfg.Cancel/4) {
 				mc.tombs[a.id] = true
 				a.sentSeq = r.Seq
-				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id}, stopCommand(name, a.id, 0))
+				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id}, wire.StopCommand(name, a.id, 0))
 			}
 		case !a.listed && !a.stop && a.ours && launch && mc.confirmed && !a.directOut:
 			a.sentSeq = r.Seq
@@ -60,10 +60,6 @@
 	return cmds
 }
 
-func stopCommand(task string, attempt uint64, grace float64) wire.Command {
-	return wire.Command{Op: wire.OpStop, Task: task, Attempt: attempt, GraceS: &grace}
-}
-
 // Direct is an order that does not wait for the worker's next report.
 type Direct struct {
 	Machine string
@@ -108,7 +104,7 @@
 			switch {
 			case a.listed && a.stop && a.stopSent == 0:
 				a.stopSent = now
-				d.Body.Commands = append(d.Body.Commands, stopCommand(name, a.id, a.stopGrace))
+				d.Body.Commands = append(d.Body.Commands, wire.StopCommand(name, a.id, a.stopGrace))
 			case launch && a.ours && !a.stop && !a.listed && a.sentSeq == 0 && !a.directLost:
 				a.directOut, a.direct = true, true
 				d.Body.Commands = append(d.Body.Commands, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id})
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -33,10 +33,8 @@
 // that runs out of time goes on with the next job at the next call.
 func (m *Manager) Preempt(now micros.Time, spent func() bool) {
 	var needy []*job
-	for _, id := range m.order {
-		j := m.jobs[id]
-		if j.over == "" && j.waiting > 0 && now >= j.notBefore && m.room(j) > 0 &&
-			now.Sub(j.waitSince) > m.cfg.Tuning.PreemptAfter && (j.rec.Job.Priority() > 0 || m.guaranteed(j, space{})) {
+	for _, j := range m.waitingFor(now, m.cfg.Tuning.PreemptAfter) {
+		if j.rec.Job.Priority() > 0 || m.guaranteed(j, space{}) {
 			needy = append(needy, j)
 		}
 	}
@@ -62,6 +60,19 @@
 	}
 }
 
+// waitingFor gives the jobs, by arrival, that could have tasks placed and have waited longer
+// than this without one of them being placed.
+func (m *Manager) waitingFor(now micros.Time, longer micros.Span) []*job {
+	var out []*job
+	for _, id := range m.order {
+		j := m.jobs[id]
+		if j.over == "" && j.waiting > 0 && now >= j.notBefore && m.room(j) > 0 && now.Sub(j.waitSince) > longer {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
 func (m *Manager) yards(now micros.Time) []*yard {
 	var yards []*yard
 	for _, mc := range m.machines {
@@ -81,7 +92,7 @@
 				y.victims = append(y.victims, a)
 			}
 		}
-		slices.SortFunc(y.victims, func(a, b *attempt) int { return cmp.Or(cmp.Compare(a.id, b.id), a.task-b.task) })
+		slices.SortFunc(y.victims, byNumber)
 		yards = append(yards, y)
 	}
 	slices.SortFunc(yards, func(a, b *yard) int { return cmp.Compare(a.mc.id, b.mc.id) })
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -115,7 +115,7 @@
 			// It runs though the books lack it. To start it elsewhere would be to run it
 			// twice, so it is taken over as it is. Only a report from our term shows that it
 			// runs; an older one may be a late copy.
-			a = &attempt{job: j, task: n, id: tr.Attempt, machine: mc, session: r.Session, began: now,
+			a = &attempt{job: j, task: n, id: tr.Attempt, machine: mc, session: r.Session,
 				leaseEnd: now.Add(m.cfg.Tuning.FirstLease)}
 			m.place(a)
 			m.touch(now, j, n, false)
@@ -238,6 +238,16 @@
 	return micros.Seconds(j.rec.Job.EstimateS).Scale(math.Exp(m.guesses[j.rec.Job.Class]))
 }
 
+// expectedEnd is when an attempt's run should end; one that has not begun counts as
+// beginning now.
+func (m *Manager) expectedEnd(now micros.Time, a *attempt) micros.Time {
+	since := now
+	if a.runSince != 0 {
+		since = a.runSince
+	}
+	return since.Add(m.estimate(a.job))
+}
+
 // noteSpeed suspects a machine that twice in a row took far longer for a task than the
 // job's other tasks took elsewhere.
 func (m *Manager) noteSpeed(mc *machine, j *job, run micros.Span) {
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -31,7 +31,7 @@
 // keepGone and keepRuns bound what a follower may miss without needing a whole view.
 const keepGone, keepRuns = 2000, 1000
 
-// touch notes that a machine may have to be shown anew.
+// touchMachine notes that a machine may have to be shown anew.
 func (m *Manager) touchMachine(mc *machine) {
 	m.shown.touched[mc.id] = true
 	m.shown.changed = true
@@ -112,7 +112,6 @@
 	}
 	// The list that earlier views share is not changed.
 	list := slices.Clone(sh.machines)
-	grown := false
 	for _, id := range slices.Sorted(maps.Keys(sh.touched)) {
 		mc := m.machines[id]
 		i, found := slices.BinarySearchFunc(list, id, func(mv *MachineView, id string) int { return cmp.Compare(mv.ID, id) })
@@ -131,13 +130,9 @@
 				list[i] = mv
 			} else {
 				list = slices.Insert(list, i, mv)
-				grown = true
 			}
 		}
 	}
-	if grown {
-		slices.SortFunc(list, byID)
-	}
 	sh.machines = list
 	clear(sh.touched)
 }
@@ -229,13 +224,8 @@
 			groups[jb.ID] = i
 			mv.Leases = append(mv.Leases, LeaseGroup{Job: jb.ID, CPUs: jb.CPUs, GPUs: jb.GPUs, MemoryGB: jb.MemoryGB})
 		}
-		l := Lease{Attempt: a.id, Ends: a.leaseEnd, Waiter: a.waiter, Until: a.waiterUntil}
-		since := now
-		if a.runSince != 0 {
-			since = a.runSince
-		}
-		l.Due = since.Add(m.estimate(a.job))
-		mv.Leases[i].Leases = append(mv.Leases[i].Leases, l)
+		mv.Leases[i].Leases = append(mv.Leases[i].Leases, Lease{Attempt: a.id, Ends: a.leaseEnd, Waiter: a.waiter,
+			Until: a.waiterUntil, Due: m.expectedEnd(now, a)})
 	}
 	return mv
 }
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -1,7 +1,6 @@
 package manager
 
 import (
-	"cmp"
 	"slices"
 
 	"saffronbend/internal/micros"
@@ -146,17 +145,24 @@
 	}
 	n := j.Waiting
 	if r, ok := v.Rooms[j.Team]; ok {
-		fit := func(left *float64, each float64) {
-			if left != nil && each > 0 {
-				n = min(n, int(*left/each+1e-9))
-			}
+		if r.CPUs != nil {
+			n = Fit(n, *r.CPUs, j.CPUs)
+		}
+		if r.GPUs != nil {
+			n = Fit(n, *r.GPUs, j.GPUs)
 		}
-		fit(r.CPUs, j.CPUs)
-		fit(r.GPUs, j.GPUs)
 	}
 	return max(0, n)
 }
 
+// Fit gives n, or the number that there is room for where that is less.
+func Fit(n int, room, each float64) int {
+	if each <= 0 {
+		return n
+	}
+	return min(n, int(room/each+1e-9))
+}
+
 // Allows tells whether a task of the job may run on a machine of the type, in the zone.
 func (j *JobView) Allows(t *wire.MachineType, zone string, spot bool) bool {
 	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
@@ -241,6 +247,3 @@
 type Result struct {
 	Granted []int `json:"granted"`
 }
-
-// byID compares machines by name.
-func byID(a, b *MachineView) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -56,8 +56,7 @@
 	Mark string
 }
 
-// Write is a transaction to be carried out under the leader's key; Jobs lists status
-// keys whose versions are compared and that users may have changed.
+// Write is a transaction to be carried out under the leader's key.
 type Write struct {
 	ID      uint64
 	Changes []Change
@@ -193,13 +192,23 @@
 	return Change{Key: state.ChunkKey(j.rec.Job.ID, d.chunk), Version: c.version, Value: rec, Mark: mark}
 }
 
-// Written takes the outcome of a write that was carried out.
-func (m *Manager) Written(now micros.Time, id, revision uint64) {
+// endWrite gives what the write that is out consists of, and makes way for the next; nil
+// if it is another.
+func (m *Manager) endWrite(id uint64) *batch {
 	b := m.writeOut
 	if b == nil || b.id != id {
-		return
+		return nil
 	}
 	m.writeOut = nil
+	return b
+}
+
+// Written takes the outcome of a write that was carried out.
+func (m *Manager) Written(now micros.Time, id, revision uint64) {
+	b := m.endWrite(id)
+	if b == nil {
+		return
+	}
 	for _, d := range b.chunks {
 		if j := m.jobs[d.job]; j != nil {
 			j.chunks[d.chunk].version = revision
@@ -246,11 +255,10 @@
 // changed a job's records meanwhile. The watch brings the news; until then the
 // completed jobs of the write are tried again.
 func (m *Manager) WriteConflict(now micros.Time, id uint64) {
-	b := m.writeOut
-	if b == nil || b.id != id {
+	b := m.endWrite(id)
+	if b == nil {
 		return
 	}
-	m.writeOut = nil
 	for _, d := range b.chunks {
 		if j := m.jobs[d.job]; j != nil {
 			m.touch(now, j, d.chunk*j.rec.Chunk, true)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,10 +21,9 @@
 type Scheduler struct {
 	member  string
 	tuning  settings.Tuning
-	types   map[string]wire.MachineType
+	types   map[string]*wire.MachineType
 	rates   map[string]float64 // fetch rate by zone, GB/s
 	view    *manager.View
-	viewAt  micros.Time
 	order   []*machine // by name
 	known   map[string]*machine
 	queue   []*queued
@@ -64,8 +63,9 @@
 // SetTypes tells the scheduler what machines there are. The fetch rate of a zone is
 // fixed: that of the slowest type offered there.
 func (s *Scheduler) SetTypes(types []wire.MachineType) {
-	s.types, s.rates = map[string]wire.MachineType{}, map[string]float64{}
-	for _, t := range types {
+	s.types, s.rates = map[string]*wire.MachineType{}, map[string]float64{}
+	for i := range types {
+		t := &types[i]
 		s.types[t.Name] = t
 		for _, z := range t.Zones {
 			if r, ok := s.rates[z]; t.FetchGBPS > 0 && (!ok || t.FetchGBPS < r) {
@@ -79,7 +79,7 @@
 func (s *Scheduler) Granted(version uint64) { s.after = max(s.after, version) }
 
 // View takes a new view; a round of decisions on it follows with Round.
-func (s *Scheduler) View(now micros.Time, v *manager.View) {
+func (s *Scheduler) View(v *manager.View) {
 	if s.view != nil && s.view.Token != v.Token {
 		s.after = 0
 	}
@@ -95,7 +95,7 @@
 	if s.next < len(s.queue) {
 		from = s.queue[s.next].ID
 	}
-	s.view, s.viewAt = v, now
+	s.view = v
 	s.queue, s.next = nil, 0
 	s.takeMachines(v)
 	open := make(map[string]bool, len(v.Jobs))
@@ -148,11 +148,7 @@
 			s.known[mv.ID] = m
 		}
 		if m.MachineView != mv || m.dirty {
-			t, ok := s.types[mv.Type]
-			*m = machine{MachineView: mv, cpus: mv.CPUs, gpus: mv.GPUs, mem: mv.MemoryGB}
-			if ok {
-				m.typ = &t
-			}
+			*m = machine{MachineView: mv, typ: s.types[mv.Type], cpus: mv.CPUs, gpus: mv.GPUs, mem: mv.MemoryGB}
 		}
 		order = append(order, m)
 	}
@@ -377,15 +373,7 @@
 	if j.ZoneMax > 0 {
 		n = j.ZoneMax - j.inZone[m.Zone]
 	}
-	fit := func(free, each float64) {
-		if each > 0 {
-			n = min(n, int((free+slack)/each))
-		}
-	}
-	fit(m.cpus, j.CPUs)
-	fit(m.gpus, j.GPUs)
-	fit(m.mem, j.MemoryGB)
-	return n
+	return manager.Fit(manager.Fit(manager.Fit(n, m.cpus, j.CPUs), m.gpus, j.GPUs), m.mem, j.MemoryGB)
 }
 
 // candidates gives the machines that have room for the job, the best first: with the
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -30,7 +30,7 @@
 
 // asked gives what a round on a view asks for, such as "run-1 n-1 x2" or "run-1 n-1 after 7".
 func asked(s *Scheduler, machines []*manager.MachineView, jobs ...*manager.JobView) []string {
-	s.View(now, &manager.View{Token: 1, Version: 1, Now: now, Assign: map[string]string{"red": "c0"}, Machines: machines, Jobs: jobs})
+	s.View(&manager.View{Token: 1, Version: 1, Now: now, Assign: map[string]string{"red": "c0"}, Machines: machines, Jobs: jobs})
 	var out []string
 	for _, r := range s.Round(now, func() bool { return false }) {
 		for _, a := range r.Asks {
@@ -114,7 +114,7 @@
 func TestRoundGoesOn(t *testing.T) {
 	s := newScheduler()
 	jobs := []*manager.JobView{jobView("run-1", 1), jobView("run-2", 1), jobView("run-3", 1)}
-	s.View(now, &manager.View{Token: 1, Version: 1, Now: now, Assign: map[string]string{"red": "c0"}, Jobs: jobs,
+	s.View(&manager.View{Token: 1, Version: 1, Now: now, Assign: map[string]string{"red": "c0"}, Jobs: jobs,
 		Machines: []*manager.MachineView{machineView("n-1", 8, "img"), machineView("n-2", 8, "img"), machineView("n-3", 8, "img")}})
 	var got []string
 	for range 3 {
--- a/term.go
+++ b/term.go
@@ -173,16 +173,23 @@
 	return false
 }
 
+// begun waits until the records are loaded.
+func (t *term) begun(ctx context.Context) bool {
+	select {
+	case <-t.ready:
+		return true
+	case <-ctx.Done():
+	case <-t.done:
+	}
+	return false
+}
+
 func (t *term) mayPromise(now micros.Time) bool { return int64(now) < t.promise.Load() }
 
 func (t *term) report(ctx context.Context, r *wire.Report) *wire.ReportAnswer {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	select {
-	case <-t.ready:
-	case <-t.done:
-		return nil
-	case <-ctx.Done():
+	if !t.begun(ctx) {
 		return nil
 	}
 	answers := make(chan *wire.ReportAnswer, 1)
@@ -213,11 +220,7 @@
 func (t *term) subscribe(ctx context.Context, member string) func(since uint64) *manager.Update {
 	s := &subscriber{member: member, news: make(chan struct{}, 1)}
 	s.news <- struct{}{}
-	select {
-	case <-t.ready:
-	case <-ctx.Done():
-		return nil
-	case <-t.done:
+	if !t.begun(ctx) {
 		return nil
 	}
 	ok := t.call(ctx, func(now micros.Time) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -142,6 +142,11 @@
 	GraceS  *float64 `json:"wind_down_s,omitempty"`
 }
 
+// StopCommand is the order to stop a task; within a grace that suffices it saves.
+func StopCommand(task string, attempt uint64, graceS float64) Command {
+	return Command{Op: OpStop, Task: task, Attempt: attempt, GraceS: &graceS}
+}
+
 // ReportAnswer answers a report.
 type ReportAnswer struct {
 	Token    uint64    `json:"baton"`
