A done attempt that was launched directly is cleared only when its job is done

Reports stay bounded: a machine with 128 such attempts gets launches in answers to reports. Ruled out: starting and stopping such attempts again at each cancellation, since that starts tasks of cancelled jobs.

--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -13,7 +13,7 @@
 	mc := m.machines[id]
 	if mc == nil {
 		mc = &machine{id: id, born: now, idleSince: now, lastHeard: now, attempts: map[string]*attempt{},
-			strays: map[string]wire.TaskReport{}, tombs: map[uint64]bool{}, images: map[string]*image{},
+			strays: map[string]wire.TaskReport{}, tombs: map[uint64]tomb{}, images: map[string]*image{},
 			directOK: true}
 		m.machines[id] = mc
 	}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -143,8 +143,9 @@
 	fails, slow  int
 	attempts     map[string]*attempt // by task
 	strays       map[string]wire.TaskReport
-	// tombs are attempts whose direct launch may yet arrive: never cleared.
-	tombs     map[uint64]bool
+	// tombs are exited attempts whose direct launch may yet arrive, or arrive again: not
+	// cleared.
+	tombs     map[uint64]tomb
 	images    map[string]*image
 	idleSince micros.Time // 0: not idle yet in this term
 	directOK  bool
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -677,3 +677,40 @@
 	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended halted", first)), "")
 	b.want(b.grant("run-1", "n-1-a", 1), 1)
 }
+
+// Nor is one that is done, as long as its job could be cancelled: the copy would start it
+// again after the cancellation's time. Its team has a limit in one case: there the second
+// start could break that, and it is never cleared.
+func TestDoneAfterADirectLaunchIsClearedWithItsJob(t *testing.T) {
+	for team, after := range map[string]string{"blue": fmt.Sprintf("clear run-1/0 %d", first), "red": ""} {
+		b := newBench(t, nil, nil)
+		b.up("n-1-a")
+		b.job("run-1", 2, func(j *wire.Job) { j.Team = team })
+		b.grant("run-1", "n-1-a", 2)
+		b.write()
+		d := b.m.Directs(b.now, true)[0]
+		b.seq++
+		b.m.DirectDone(b.now, d, true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token,
+			Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}, {Task: "run-1/1", Attempt: first + 1, State: wire.TaskRunning}}})
+		done := fmt.Sprintf("run-1/0 %d ended done", first)
+		b.report("n-1-a", token, 1, done, fmt.Sprintf("run-1/1 %d running", first+1))
+		b.wait(gather)
+		b.write()
+		b.want(b.report("n-1-a", token, 1, done, fmt.Sprintf("run-1/1 %d running", first+1)), "")
+		b.report("n-1-a", token, 1, done, fmt.Sprintf("run-1/1 %d ended done", first+1))
+		b.write()
+		b.want(b.report("n-1-a", token, 1, done), after)
+	}
+}
+
+// A machine with many such attempts gets no more direct launches, so that its reports stay
+// short.
+func TestTombsAreBounded(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	for i := range mostTombs {
+		b.m.machines["n-1-a"].tombs[uint64(i)] = tomb{job: b.m.jobs["run-1"]}
+	}
+	b.want(len(b.m.Directs(b.now, true)), 0)
+	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
+}
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -162,6 +162,9 @@
 
 // exited books a task that the worker lists as exited.
 func (m *Manager) exited(now micros.Time, mc *machine, j *job, n int, a *attempt, tr wire.TaskReport) {
+	if _, ok := mc.tombs[tr.Attempt]; ok && a == nil {
+		return // booked before, and still listed because it is not cleared
+	}
 	mine := a != nil && a.id == tr.Attempt && a.machine == mc
 	if tr.Why == wire.WhyDone {
 		// A result counts from whichever attempt it comes.
@@ -205,14 +208,35 @@
 	m.drop(now, a)
 }
 
-// bury remembers an exited attempt whose direct launch may yet arrive, or arrive again. The
-// worker must go on knowing it: once cleared, the late launch would start it again, while
-// its task may be elsewhere. A task that is done goes nowhere else; it is cleared once its
-// launch is known to have arrived, so that reports stay short.
+// tomb is an exited attempt that its worker must go on knowing: once cleared, a late copy
+// of its direct launch would start it again, while its task may be elsewhere or its job
+// cancelled. One that is done may be cleared when its job is done, which can't be
+// cancelled any more, unless the second start would break its team's limit.
+type tomb struct {
+	job  *job
+	done bool
+}
+
+// mostTombs bounds the length of a machine's reports: one with more gets its launches in
+// answers to them, which do not come late.
+const mostTombs = 128
+
+// bury remembers an attempt that has exited, if it was launched directly.
 func (m *Manager) bury(a *attempt, done bool) {
-	if a.directLost || a.directOut || a.direct && !done {
-		a.machine.tombs[a.id] = true
+	if a.directLost || a.directOut || a.direct {
+		limit := m.teams[a.job.rec.Job.Team]
+		a.machine.tombs[a.id] = tomb{a.job, done && !a.directLost && !a.directOut && (limit == nil || limit.CPUsMax+limit.GPUsMax == 0)}
+	}
+}
+
+// mayClear tells whether an exited attempt may be cleared, and forgets its tomb then.
+func (mc *machine) mayClear(attempt uint64) bool {
+	t, ok := mc.tombs[attempt]
+	if ok && !(t.done && t.job.over == wire.JobDone) {
+		return false
 	}
+	delete(mc.tombs, attempt)
+	return true
 }
 
 // learnGuess learns from a job that is done how far its class's estimates are off: on some
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -48,7 +48,7 @@
 		return w.stateFault(f[1:])
 	case "cloud":
 		return w.cloudFault(f[1:])
-	case "hang", "resume", "die", "take", "notice", "copies":
+	case "hang", "resume", "die", "take", "notice", "copies", "repeats":
 		return w.machineFault(f[0], f[1:])
 	default:
 		return fmt.Errorf("unknown word")
@@ -360,6 +360,8 @@
 		wk.Notice(seconds(f[1]))
 	case "copies": // MACHINE SECONDS
 		wk.Copies(seconds(f[1]))
+	case "repeats": // MACHINE SECONDS
+		wk.Repeats(seconds(f[1]))
 	}
 	return nil
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -33,7 +33,7 @@
 	host              *Host
 	http              *http.Client
 	mail              *http.Client // outlives the machine, as late copies do
-	copies            time.Duration
+	copies, repeats   time.Duration
 	inbox             chan func()
 	cancel            context.CancelFunc
 
@@ -115,6 +115,9 @@
 // Copies has a copy of every report arrive late as well, also once the machine is gone.
 func (w *Worker) Copies(late time.Duration) { w.inbox <- func() { w.copies = late } }
 
+// Repeats has a copy of every direct order that is carried out arrive late as well.
+func (w *Worker) Repeats(late time.Duration) { w.inbox <- func() { w.repeats = late } }
+
 // Notice has the cloud announce that it takes the machine back.
 func (w *Worker) Notice(in time.Duration) {
 	at := time.Now().Add(in)
@@ -332,12 +335,10 @@
 	// the answer any more.
 	accepted := w.do(r.Context(), func() {
 		code := http.StatusConflict
-		if d.Token >= w.token && d.Session == w.session {
+		if w.obey(d) {
 			code = http.StatusOK
-			w.heed(time.Now(), d.Token)
-			w.execute(d.Commands)
-			for _, t := range w.tasks {
-				w.advance(time.Now(), t)
+			if w.repeats > 0 {
+				time.AfterFunc(w.repeats, func() { w.do(context.Background(), func() { w.obey(d) }) })
 			}
 		}
 		results <- result{code, w.describe()}
@@ -353,6 +354,19 @@
 	}
 }
 
+// obey carries a direct order out, if token and session allow it.
+func (w *Worker) obey(d wire.Direct) bool {
+	if d.Token < w.token || d.Session != w.session {
+		return false
+	}
+	w.heed(time.Now(), d.Token)
+	w.execute(d.Commands)
+	for _, t := range w.tasks {
+		w.advance(time.Now(), t)
+	}
+	return true
+}
+
 func (w *Worker) execute(cmds []wire.Command) {
 	for _, c := range cmds {
 		i := slices.IndexFunc(w.tasks, func(t *workerTask) bool { return t.name == c.Task && t.attempt == c.Attempt })
