--- a/elect.go
+++ b/elect.go
@@ -112,10 +112,14 @@
 		fctx, cancel := context.WithCancel(ctx)
 		d.stop = cancel
 		n.log.Info("following a leader", "leader", member, "token", token)
-		care := &caretaker{n: n, token: token}
-		n.role.Store(&role{leader: member, care: care})
+		f := newFollowing(n, member, token)
+		if f == nil {
+			n.log.Error("the leader is not among the seeds", "leader", member)
+			return
+		}
+		n.role.Store(&role{leader: member, following: f})
 		n.start(func() {
-			n.follow(fctx, member, token, care, func() {
+			f.run(fctx, func() {
 				d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Refused(now, token) })
 			})
 		})
--- a/follow.go
+++ b/follow.go
@@ -11,52 +11,68 @@
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
 	"saffronbend/internal/scheduler"
+	"saffronbend/wire"
 )
 
-// follow keeps a stream to the leader until ctx ends, and hands its views to the
-// placer. While the leader is silent, care is taken of its workers; refused is called when
-// its host, having served us, refuses connections.
-func (n *Node) follow(ctx context.Context, leader string, token uint64, care *caretaker, refused func()) {
-	addr := ""
+// following is this controller's part in a term that another leads.
+type following struct {
+	n      *Node
+	leader string
+	token  uint64
+	client *peer.Client
+	care   *caretaker
+	// heard is when the leader was heard last; a refusal shows that it, or its host, is
+	// there: then its workers need no care.
+	heard atomic.Int64
+}
+
+// newFollowing gives nil if the leader is not known.
+func newFollowing(n *Node, leader string, token uint64) *following {
 	for _, p := range n.set.Peers {
 		if p.Member == leader {
-			addr = p.Addr
+			f := &following{n: n, leader: leader, token: token, care: &caretaker{n: n, token: token},
+				client: peer.NewClient(n.net.Dial, p.Addr, n.set.Member, token)}
+			f.hear()
+			return f
 		}
 	}
-	if addr == "" {
-		n.log.Error("the leader is not among the seeds", "leader", leader)
-		return
-	}
-	c := peer.NewClient(n.net.Dial, addr, n.set.Member, token)
-	defer c.Close()
+	return nil
+}
+
+func (f *following) hear() { f.heard.Store(int64(f.n.clock.Now())) }
+
+func (f *following) silent() bool {
+	return f.n.clock.Now().Sub(micros.Time(f.heard.Load())) > careAfter
+}
+
+// run keeps a stream to the leader until ctx ends, and hands its views to the placer.
+// While the leader is silent, care is taken of its workers; refused is called when its
+// host, having served us, refuses connections.
+func (f *following) run(ctx context.Context, refused func()) {
+	n := f.n
+	defer f.client.Close()
 	served, refusals := false, 0
-	// heard is when the leader was heard last; a refusal shows that it, or its host, is
-	// there: then its workers need no care.
-	var heard atomic.Int64
-	heard.Store(int64(n.clock.Now()))
-	n.start(func() {
-		care.run(ctx, func() bool { return n.clock.Now().Sub(micros.Time(heard.Load())) > careAfter })
-	})
+	n.start(func() { f.care.run(ctx, f.silent) })
 	for ctx.Err() == nil {
 		var mirror manager.Mirror
-		err := c.Updates(ctx, func(u *manager.Update) bool {
+		err := f.client.Updates(ctx, func(u *manager.Update) bool {
 			v := mirror.Apply(u)
 			if v == nil {
 				return false
 			}
 			served, refusals = true, 0
-			heard.Store(int64(n.clock.Now()))
+			f.hear()
 			n.show(v)
-			n.placer.offer(v, c.Ask)
+			n.placer.offer(v, f.client.Ask)
 			return true
 		})
 		if ctx.Err() != nil {
 			return
 		}
-		n.log.Debug("the leader's stream ended", "leader", leader, "err", err)
+		n.log.Debug("the leader's stream ended", "leader", f.leader, "err", err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			refusals++
-			heard.Store(int64(n.clock.Now()))
+			f.hear()
 		}
 		if served && refusals >= 2 {
 			refused()
@@ -67,6 +83,28 @@
 	}
 }
 
+// report answers a worker in the leader's stead, or passes its report on; nil: the worker
+// belongs with the leader. One that has the leader's token was answered by it before, and
+// comes here only because it is answered no more, while we hear the leader: as when
+// the leader is cut off from workers alone.
+func (f *following) report(ctx context.Context, r *wire.Report) *wire.ReportAnswer {
+	if a := f.care.answer(r); a != nil {
+		return a
+	}
+	if r.Token != f.token || f.silent() {
+		return nil
+	}
+	a, err := f.client.Relay(ctx, r)
+	if err != nil {
+		f.n.log.Debug("a report could not be passed on", "machine", r.Machine, "err", err)
+		return nil
+	}
+	if a.Reached {
+		return nil
+	}
+	return a.Answer
+}
+
 // askFunc sends lease requests to the leader.
 type askFunc func(ctx context.Context, r []manager.Request) (*peer.Answers, error)
 
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -134,7 +134,7 @@
 		if mc.notice != 0 {
 			m.vacate(now, mc)
 		}
-		if mc.deaf != 0 && mc.up && m.probeDue(now, mc) {
+		if (mc.deaf != 0 || mc.cutOff()) && mc.up && m.probeDue(now, mc) {
 			m.direct[mc.id] = true
 		}
 		if mc.shownUsable != m.usable(now, mc) {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -150,6 +150,8 @@
 	idleSince micros.Time // 0: not idle yet in this term
 	directOK  bool
 	directOut bool
+	// via names the controller by which its reports come; none: they come here.
+	via string
 }
 
 // Manager is the state of a term.
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -86,7 +86,7 @@
 		_, _ = fmt.Sscan(s, &tr.Task, &tr.Attempt, &tr.State, &tr.Why)
 		r.Tasks = append(r.Tasks, tr)
 	}
-	a, _ := b.m.Report(b.now, r, true)
+	a, _ := b.m.Report(b.now, r, "", true)
 	if a == nil {
 		return "dropped"
 	}
@@ -483,7 +483,7 @@
 	b.seq++
 	soon := 4.0
 	b.m.Report(b.now, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token, NoticeS: &soon,
-		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}}}, true)
+		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}}}, "", true)
 	b.want(b.grant("run-1", "n-1-a", 1), 0)
 	b.m.Tick(b.now)
 	b.want(b.report("n-1-a", token, 1, running), fmt.Sprintf("stop run-1/0 %d", first))
@@ -714,3 +714,33 @@
 	b.want(len(b.m.Directs(b.now, true)), 0)
 	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
 }
+
+// A machine whose reports come by way of another controller gets its launches in the
+// answers, since direct orders don't reach it, and is sent back to us once one does.
+func TestReportsPassedOn(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	passed := func(tasks ...wire.TaskReport) string {
+		b.seq++
+		a, _ := b.m.Report(b.now, &wire.Report{Machine: "n-1-a", Addr: "10.1.0.1:9000", Type: "small", Zone: "a", Session: 1, Seq: b.seq,
+			Token: token, Tasks: tasks}, "c1", true)
+		return orders(a.Commands)
+	}
+	b.want(passed(), fmt.Sprintf("launch run-1/0 %d", first))
+	b.want(len(b.m.Directs(b.now, true)), 0)
+	b.want(b.m.Reached("n-1-a"), false)
+	// The answer did not come through as far as the report shows, but the worker has stayed
+	// where it got it from.
+	b.want(passed(), fmt.Sprintf("launch run-1/0 %d", first))
+	b.want(b.m.machines["n-1-a"].deaf, micros.Time(0))
+	for range 2 {
+		b.wait(15 * micros.Second / 2)
+		passed()
+	}
+	d := b.m.Directs(b.now, true)
+	b.want(len(d), 1)
+	b.want(len(d[0].Body.Commands), 0)
+	b.seq++
+	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token})
+	b.want(b.m.Reached("n-1-a"), true)
+}
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -84,7 +84,7 @@
 		if mc == nil || !mc.up || mc.directOut || mc.addr == "" || mc.deleting {
 			continue
 		}
-		if mc.deaf != 0 {
+		if mc.deaf != 0 || mc.cutOff() {
 			if m.probeDue(now, mc) {
 				mc.probed, mc.directOut = now, true
 				m.directs++
@@ -119,10 +119,16 @@
 	return out
 }
 
+// cutOff tells whether a machine is heard by way of another controller only.
+func (mc *machine) cutOff() bool { return mc.via != "" && !mc.directOK }
+
 // probeDue tells whether it is time to ask a machine whether it hears us. One that does
 // not have our token yet most likely shows it with its next report.
 func (m *Manager) probeDue(now micros.Time, mc *machine) bool {
-	const pause = 3 * micros.Second
+	const pause, cutPause = 3 * micros.Second, 15 * micros.Second
+	if mc.cutOff() {
+		return now.Sub(mc.probed) >= cutPause
+	}
 	patience := micros.Span(0)
 	if !mc.confirmed {
 		patience = m.cfg.Report.Scale(1.25) + micros.Second
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -7,9 +7,9 @@
 	"saffronbend/wire"
 )
 
-// Report is a worker's report; the answer is nil when the controller must not
-// renew the worker's lease.
-func (m *Manager) Report(now micros.Time, r *wire.Report, launch bool) (answer *wire.ReportAnswer, deposed bool) {
+// Report is a worker's report; via names the controller that passes it on, if one does.
+// The answer is nil when the controller must not renew the worker's lease.
+func (m *Manager) Report(now micros.Time, r *wire.Report, via string, launch bool) (answer *wire.ReportAnswer, deposed bool) {
 	if r.Token > m.cfg.Token {
 		return nil, true
 	}
@@ -19,14 +19,31 @@
 		// gets; if it hears that, its next report has our token.
 		return &wire.ReportAnswer{Token: m.cfg.Token, Commands: []wire.Command{}}, false
 	}
+	// A worker stays with a controller only while that one's answers reach it.
+	old := m.machines[r.Machine]
+	stays := via != "" && old != nil && old.via == via && old.session == r.Session && old.seq+1 == r.Seq
 	mc := m.take(now, r, true)
 	if mc == nil {
 		return nil, false
 	}
+	if stays {
+		m.heard(mc)
+	}
+	if via != "" && mc.via == "" {
+		// It has left us for lack of an answer: direct orders won't reach it either.
+		mc.directOK, mc.probed = false, now
+	}
+	mc.via = via
 	mc.lastReport = now
 	return &wire.ReportAnswer{Token: m.cfg.Token, Commands: m.orders(now, mc, r, launch)}, false
 }
 
+// Reached tells whether a machine whose reports are passed on hears our own orders again.
+func (m *Manager) Reached(id string) bool {
+	mc := m.machines[id]
+	return mc != nil && mc.via != "" && mc.directOK && mc.deaf == 0
+}
+
 // take books a report, or the worker's answer to a direct order; nil if it is late or
 // its machine is known to be gone.
 func (m *Manager) take(now micros.Time, r *wire.Report, unasked bool) *machine {
@@ -66,7 +83,7 @@
 	mc.addr, mc.typ, mc.zone, mc.spot = r.Addr, r.Type, r.Zone, r.Spot
 	mc.spec = m.types[mc.typ]
 	mc.lastHeard = now
-	mc.directOK = true
+	mc.directOK = mc.directOK || mc.via == "" || !unasked
 	mc.confirmed = r.Token == m.cfg.Token
 	if r.NoticeS != nil {
 		if mc.notice == 0 {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"saffronbend/internal/call"
 	"saffronbend/internal/manager"
+	"saffronbend/wire"
 )
 
 var errMissed = errors.New("peer: an update was missed")
@@ -47,6 +48,23 @@
 	Ask(ctx context.Context, a Asks) (*Answers, error)
 	// Announced takes another controller's word that it leads.
 	Announced(ctx context.Context, a Announcement)
+	// Relayed serves a worker's report that came to another controller.
+	Relayed(ctx context.Context, r Relay) (*RelayAnswer, error)
+}
+
+// Relay passes on a report of a worker that the leader does not answer though it has its
+// token.
+type Relay struct {
+	Member string       `json:"member"`
+	Token  uint64       `json:"token"`
+	Report *wire.Report `json:"report"`
+}
+
+// RelayAnswer is the leader's answer to the worker. Reached says that the leader's orders
+// reach the worker again, so it may be sent there.
+type RelayAnswer struct {
+	Answer  *wire.ReportAnswer `json:"answer,omitempty"`
+	Reached bool               `json:"reached,omitempty"`
 }
 
 // Announcement says who leads under which token.
@@ -59,6 +77,7 @@
 	pathView = "/peer/view"
 	pathAsk  = "/peer/ask"
 	pathLead = "/peer/lead"
+	pathPass = "/peer/report"
 	// Silence on a stream after which it counts as broken.
 	silence = 2 * time.Second
 	maxAsks = 4 << 20
@@ -68,7 +87,8 @@
 func Serve(ctx context.Context, l net.Listener, leader Leader) error {
 	r := httprouter.New()
 	r.GET(pathView, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) { serveView(w, req, leader) })
-	r.POST(pathAsk, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) { serveAsk(w, req, leader) })
+	r.POST(pathAsk, serve(leader.Ask))
+	r.POST(pathPass, serve(leader.Relayed))
 	r.POST(pathLead, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
 		var a Announcement
 		if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAsks)).Decode(&a); err != nil {
@@ -115,18 +135,21 @@
 	}
 }
 
-func serveAsk(w http.ResponseWriter, req *http.Request, leader Leader) {
-	var a Asks
-	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAsks)).Decode(&a); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	ans, err := leader.Ask(req.Context(), a)
-	if err != nil {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+// serve serves requests that only the leader of a term answers.
+func serve[A, B any](f func(context.Context, A) (*B, error)) httprouter.Handle {
+	return func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+		var in A
+		if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAsks)).Decode(&in); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		out, err := f(req.Context(), in)
+		if err != nil {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(out)
 	}
-	_ = json.NewEncoder(w).Encode(ans)
 }
 
 // Client talks to one leader in one term.
@@ -191,6 +214,15 @@
 	return &ans, nil
 }
 
+// Relay passes a worker's report on.
+func (c *Client) Relay(ctx context.Context, r *wire.Report) (*RelayAnswer, error) {
+	var ans RelayAnswer
+	if err := c.post(ctx, pathPass, Relay{Member: c.member, Token: c.token, Report: r}, &ans); err != nil {
+		return nil, err
+	}
+	return &ans, nil
+}
+
 // Announce says that this client's controller leads under its token.
 func (c *Client) Announce(ctx context.Context) error {
 	return c.post(ctx, pathLead, Announcement{Member: c.member, Token: c.token}, nil)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,12 +31,13 @@
 
 const (
 	stateIP, cloudIP, usersIP = "10.2.0.1", "10.2.0.2", "10.3.0.1"
-	cancelS                   = 30
-	leaseS                    = 10
-	reportS                   = 2
 	listLagS                  = 3
 )
 
+// The values that a scenario may give, with `set NAME VALUE`, and those of most.
+var usual = map[string]float64{"report_s": 2, "lease_s": 10, "cancel_s": 30, "rps": 200, "write_rps": 60, "txn_ops": 8, "value_kb": 4,
+	"cloud_rps": 10, "mem_mb": 4000, "max_connections": 500}
+
 // Scenario is a parsed file.
 type Scenario struct {
 	world, steps []string
@@ -90,6 +92,7 @@
 	nodes   map[string]*node
 	members []string
 	workers standin.WorkerConfig
+	values  map[string]float64
 }
 
 type node struct {
@@ -104,7 +107,7 @@
 func (s *Scenario) Play(ctx context.Context, logs io.Writer) error {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &world{ctx: ctx, net: standin.NewNetwork(), state: standin.NewState(), byName: map[string]*wire.MachineType{},
-		referee: standin.NewReferee(cancelS * time.Second), nodes: map[string]*node{}, options: s.options,
+		referee: standin.NewReferee(), nodes: map[string]*node{}, options: s.options, values: maps.Clone(usual),
 		log: slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug}))}
 	defer w.end(cancel)
 	for _, l := range s.world {
@@ -155,6 +158,17 @@
 		w.later = append(w.later, func() { w.cloud.Capacity(f[1], f[2], f[3] == "spot", int(number(f[4]))) })
 	case "machine": // TYPE ZONE [spot]
 		w.later = append(w.later, func() { w.cloud.Add(f[1], f[2], len(f) > 3 && f[3] == "spot") })
+	case "machines": // TYPE ZONE N
+		w.later = append(w.later, func() {
+			for range int(number(f[3])) {
+				w.cloud.Add(f[1], f[2], true)
+			}
+		})
+	case "set": // NAME VALUE
+		if _, ok := usual[f[1]]; !ok {
+			return fmt.Errorf("unknown value %q", f[1])
+		}
+		w.values[f[1]] = number(f[2])
 	default:
 		return fmt.Errorf("unknown word")
 	}
@@ -184,7 +198,8 @@
 		w.nodes[name] = &node{ip: fmt.Sprintf("10.0.0.%d", i+1)}
 		w.workers.Nodes = append(w.workers.Nodes, standin.Address{Member: name, Addr: w.nodes[name].ip + ":8080"})
 	}
-	w.workers.Report, w.workers.Lease = reportS*time.Second, leaseS*time.Second
+	w.workers.Report, w.workers.Lease = seconds(w.values["report_s"]), seconds(w.values["lease_s"])
+	w.referee.CancelWithin(seconds(w.values["cancel_s"]))
 	w.workers.Types, w.workers.Referee = w.byName, w.referee
 	w.cloud = standin.NewCloud(w.types, listLagS*time.Second, func(id, ip, typ, zone string, spot bool) *standin.Worker {
 		return standin.NewWorker(w.ctx, w.net, w.workers, id, ip, typ, zone, spot)
@@ -258,10 +273,11 @@
 	for _, t := range w.teams {
 		fmt.Fprintf(&b, "[[deployment.teams]]\nname = %q\ncpus_max = %f\n", t.Name, t.CPUsMax)
 	}
-	fmt.Fprintf(&b, "[deployment.workers]\nreport_s = %d\nlease_s = %d\ncancel_s = %d\n", reportS, leaseS, cancelS)
-	b.WriteString("[deployment.state]\nrps = 200.0\nwrite_rps = 60.0\nvalue_kb = 4.0\ntxn_ops = 8\n")
-	fmt.Fprintf(&b, "[deployment.cloud]\nrps = 10.0\nlist_lag_s = %d.0\n", listLagS)
-	b.WriteString("[deployment.quota]\ncore_share = 1.0\nmem_mb = 4000.0\nmax_connections = 500\n")
+	v := w.values
+	fmt.Fprintf(&b, "[deployment.workers]\nreport_s = %f\nlease_s = %f\ncancel_s = %f\n", v["report_s"], v["lease_s"], v["cancel_s"])
+	fmt.Fprintf(&b, "[deployment.state]\nrps = %f\nwrite_rps = %f\nvalue_kb = %f\ntxn_ops = %d\n", v["rps"], v["write_rps"], v["value_kb"], int(v["txn_ops"]))
+	fmt.Fprintf(&b, "[deployment.cloud]\nrps = %f\nlist_lag_s = %d.0\n", v["cloud_rps"], listLagS)
+	fmt.Fprintf(&b, "[deployment.quota]\ncore_share = 1.0\nmem_mb = %f\nmax_connections = %d\n", v["mem_mb"], int(v["max_connections"]))
 	return b.String()
 }
 
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -32,11 +32,11 @@
 		}
 		return w.until(10*time.Second, []string{"leader", "any"})
 	case "wait": // SECONDS
-		time.Sleep(seconds(f[1]))
+		time.Sleep(seconds(number(f[1])))
 	case "until": // SECONDS CONDITION
-		return w.until(seconds(f[1]), f[2:])
+		return w.until(seconds(number(f[1])), f[2:])
 	case "never": // SECONDS CONDITION
-		return w.never(seconds(f[1]), f[2:])
+		return w.never(seconds(number(f[1])), f[2:])
 	case "check": // CONDITION
 		return w.check(f[1:])
 	case "crash", "start", "restart":
@@ -56,7 +56,7 @@
 	return nil
 }
 
-func seconds(s string) time.Duration { return time.Duration(number(s) * float64(time.Second)) }
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // at takes "at MEMBER" off the end of the words.
 func (w *world) at(f []string) ([]string, string) {
@@ -112,7 +112,7 @@
 		case "gb":
 			j.ImageGB = number(v)
 		case "run":
-			run = seconds(v)
+			run = seconds(number(v))
 			j.EstimateS = number(v)
 		case "save":
 			j.SaveS, j.CheckpointS = number(v), 5
@@ -321,7 +321,7 @@
 	case "refuse", "serve": // MEMBER
 		w.state.Refuse(w.nodes[w.member(f[1])].ip, f[0] == "refuse")
 	case "late": // PREFIX SECONDS
-		w.state.Late(f[1], seconds(f[2]))
+		w.state.Late(f[1], seconds(number(f[2])))
 	case "lose": // PREFIX
 		w.state.LoseAnswer(f[1])
 	default:
@@ -357,11 +357,11 @@
 	case "take":
 		w.cloud.Take(f[0])
 	case "notice": // MACHINE SECONDS
-		wk.Notice(seconds(f[1]))
+		wk.Notice(seconds(number(f[1])))
 	case "copies": // MACHINE SECONDS
-		wk.Copies(seconds(f[1]))
+		wk.Copies(seconds(number(f[1])))
 	case "repeats": // MACHINE SECONDS
-		wk.Repeats(seconds(f[1]))
+		wk.Repeats(seconds(number(f[1])))
 	}
 	return nil
 }
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -145,13 +145,19 @@
 	case "GET /machine_types":
 		reply(w, http.StatusOK, wire.MachineTypes{Types: c.types})
 	case "GET /machines":
+		const page = 500
 		l := wire.MachineList{Machines: []wire.Machine{}}
 		for _, id := range slices.Sorted(maps.Keys(c.machines)) {
 			m := c.machines[id]
-			if age := time.Since(m.since); age >= c.lag {
-				m.m.AgeS = age.Seconds()
-				l.Machines = append(l.Machines, m.m)
+			age := time.Since(m.since)
+			if id <= r.URL.Query().Get("from") || age < c.lag {
+				continue
 			}
+			if l.More = len(l.Machines) == page; l.More {
+				break
+			}
+			m.m.AgeS = age.Seconds()
+			l.Machines = append(l.Machines, m.m)
 		}
 		reply(w, http.StatusOK, l)
 	case "POST /machines":
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -33,8 +33,8 @@
 }
 
 // NewReferee makes a referee.
-func NewReferee(cancel time.Duration) *Referee {
-	return &Referee{cancel: cancel, limits: map[string]float64{}, types: map[string]*wire.MachineType{}, jobs: map[string]*refJob{},
+func NewReferee() *Referee {
+	return &Referee{limits: map[string]float64{}, types: map[string]*wire.MachineType{}, jobs: map[string]*refJob{},
 		starts: map[string]int{}, used: map[string]float64{}}
 }
 
@@ -84,6 +84,9 @@
 	}
 }
 
+// CancelWithin says how soon all of a cancelled job must be gone.
+func (r *Referee) CancelWithin(d time.Duration) { r.cancel = d }
+
 // Asked notes that a user asks to cancel.
 func (r *Referee) Asked(id string) {
 	r.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -141,8 +141,8 @@
 
 func (w *Worker) run(ctx context.Context) {
 	defer close(w.gone)
-	tick := time.NewTicker(50 * time.Millisecond)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -151,7 +151,7 @@
 			if !w.dying.Load() {
 				f()
 			}
-		case <-tick.C:
+		case <-timer.C:
 		}
 		if w.dying.Load() {
 			w.kill()
@@ -159,9 +159,34 @@
 			return
 		}
 		w.step(ctx)
+		timer.Reset(w.idle(time.Now()))
 	}
 }
 
+// idle is how long nothing happens by itself.
+func (w *Worker) idle(now time.Time) time.Duration {
+	const least = 10 * time.Millisecond
+	at := w.renewed.Add(w.cfg.Lease + least)
+	for _, t := range w.tasks {
+		until := t.until
+		if t.state == wire.TaskFetching {
+			until = w.images[t.desc.Image]
+		}
+		if t.state != wire.TaskExited && until.Before(at) {
+			at = until
+		}
+	}
+	if !w.inFlight {
+		if w.nextReport.Before(at) {
+			at = w.nextReport
+		}
+		if soon := w.lastReport.Add(500 * time.Millisecond); w.changed && soon.Before(at) {
+			at = soon
+		}
+	}
+	return max(least, at.Sub(now))
+}
+
 func (w *Worker) step(ctx context.Context) {
 	now := time.Now()
 	if now.Sub(w.renewed) > w.cfg.Lease {
--- a/node.go
+++ b/node.go
@@ -76,9 +76,9 @@
 
 // role is what this controller is at the moment.
 type role struct {
-	term   *term  // while it leads
-	leader string // who leads, if known
-	care   *caretaker
+	term      *term  // while it leads
+	leader    string // who leads, if known
+	following *following
 }
 
 type counts struct{ done, running int }
@@ -198,15 +198,24 @@
 // Report serves a worker's report.
 func (n *Node) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, string) {
 	ro := n.role.Load()
-	if ro.term == nil {
-		if ro.care != nil {
-			if a := ro.care.answer(r); a != nil {
-				return a, ""
-			}
+	switch {
+	case ro.term != nil:
+		return ro.term.report(ctx, r, ""), ""
+	case ro.following != nil:
+		if a := ro.following.report(ctx, r); a != nil {
+			return a, ""
 		}
-		return nil, ro.leader
 	}
-	return ro.term.report(ctx, r), ""
+	return nil, ro.leader
+}
+
+// Relayed serves a report that another controller passes on.
+func (n *Node) Relayed(ctx context.Context, r peer.Relay) (*peer.RelayAnswer, error) {
+	t := n.role.Load().term
+	if t == nil || t.token != r.Token || r.Report == nil {
+		return nil, peer.ErrNotLeader
+	}
+	return t.relayed(ctx, r), nil
 }
 
 // Subscribe gives what changes in the views of a term.
--- a/term.go
+++ b/term.go
@@ -186,7 +186,8 @@
 
 func (t *term) mayPromise(now micros.Time) bool { return int64(now) < t.promise.Load() }
 
-func (t *term) report(ctx context.Context, r *wire.Report) *wire.ReportAnswer {
+// report serves a worker's report; via names the controller that passes it on, if one does.
+func (t *term) report(ctx context.Context, r *wire.Report, via string) *wire.ReportAnswer {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	if !t.begun(ctx) {
@@ -200,7 +201,7 @@
 			answers <- nil
 			return
 		}
-		a, deposed := t.mgr.Report(now, r, t.mayPromise(now))
+		a, deposed := t.mgr.Report(now, r, via, t.mayPromise(now))
 		if deposed {
 			t.n.start(func() { t.depose("a worker has seen a higher token") })
 		}
@@ -215,6 +216,15 @@
 	return nil
 }
 
+// relayed serves a report that another controller passes on.
+func (t *term) relayed(ctx context.Context, r peer.Relay) *peer.RelayAnswer {
+	reached := make(chan bool, 1)
+	if t.begun(ctx) && t.call(ctx, func(micros.Time) { reached <- t.mgr.Reached(r.Report.Machine) }) && <-reached {
+		return &peer.RelayAnswer{Reached: true}
+	}
+	return &peer.RelayAnswer{Answer: t.report(ctx, r.Report, r.Member)}
+}
+
 // subscribe enters a follower. What it gets waits for a view newer than the one of the
 // given version and gives what has changed; nil when the term is over.
 func (t *term) subscribe(ctx context.Context, member string) func(since uint64) *manager.Update {
