--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -159,7 +159,7 @@
 	bins, count := f.bins(v, acts.Return)
 	short := f.shortage(v, bins)
 	f.rent(now, short, count, &acts)
-	f.returnIdle(v, bins, len(short) > 0, &acts)
+	f.returnIdle(v, bins, &acts)
 	return acts
 }
 
@@ -394,7 +394,7 @@
 
 // returnIdle returns machines that nothing needs. Ordinary machines go sooner where
 // they cost more.
-func (f *Fleet) returnIdle(v *manager.View, bins []*bin, short bool, acts *Actions) {
+func (f *Fleet) returnIdle(v *manager.View, bins []*bin, acts *Actions) {
 	needed := map[string]bool{}
 	for _, b := range bins {
 		if b.used {
@@ -407,7 +407,7 @@
 		}
 		t := f.typ(m.Type)
 		idle := v.Now.Sub(m.Idle)
-		if t == nil || short && idle < 2*f.cfg.Tuning.IdleReturn {
+		if t == nil {
 			continue
 		}
 		limit := f.cfg.Tuning.IdleReturn
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -132,3 +132,16 @@
 		t.Error("not returned")
 	}
 }
+
+// An idle machine goes though other work is short of room: what it could take would have
+// been placed there.
+func TestIdleMachineGoesWhileLargerTasksWait(t *testing.T) {
+	f := newFleet(0)
+	idle := &manager.MachineView{ID: "n-1", Type: "small", Zone: "a", Spot: true, Usable: true, Up: true, State: wire.MachineRunning,
+		CPUs: 8, MemoryGB: 16, Heard: start, Idle: start.Add(-31 * micros.Second)}
+	acts := f.Handle(start, &manager.View{Now: start, Machines: []*manager.MachineView{idle},
+		Jobs: []*manager.JobView{jobView("run-1", "work", 40, 32)}})
+	if len(acts.Return) != 1 {
+		t.Errorf("returned %v", acts.Return)
+	}
+}
