Lists without news cost nothing; orphaned records go; limits that follow the settings

Cause: each list had all machines shown anew, each use of a task's name made it anew. A progress record made anew by a late copy is deleted by the next leader. max_machines follows max_connections instead of a constant; settings that can't work are refused in one line, tight ones are a warning. test.sh checks client, too.

--- a/cmd/saffronbend/main.go
+++ b/cmd/saffronbend/main.go
@@ -67,14 +67,16 @@
 	if err != nil {
 		return err
 	}
-	// The process is ended when it holds more memory than its limit; the runtime's
-	// own share and the kernel's buffers come out of the same limit.
-	// Little of it is used, and the processor is dearer: garbage may pile up further
-	// than usual before it is collected.
+	// The process is ended when it holds more memory than its limit. Little of it is used,
+	// and the processor is dearer: garbage may pile up further than usual before it is
+	// collected.
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(set.Deployment.Limits.MemoryMB * 0.7 * (1 << 20)))
+	debug.SetMemoryLimit(set.Memory())
 	runtime.GOMAXPROCS(int(math.Ceil(set.Deployment.Limits.CoreShare)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	for _, t := range set.Tight() {
+		log.Warn("the settings are tight", "what", t)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return saffronbend.New(set, saffronbend.NewTCP(), log).Run(ctx)
@@ -84,9 +86,13 @@
 	if _, err := logLevel(); err != nil {
 		return err
 	}
-	if _, err := c.load(); err != nil {
+	set, err := c.load()
+	if err != nil {
 		return err
 	}
+	for _, t := range set.Tight() {
+		fmt.Println("tight:", t)
+	}
 	fmt.Println("settings and options are sound")
 	return nil
 }
--- /dev/null
+++ b/internal/manager/bench_test.go
@@ -0,0 +1,102 @@
+package manager
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"saffronbend/internal/micros"
+	"saffronbend/internal/settings"
+	"saffronbend/wire"
+)
+
+// largeFleet is a term with 2,000 machines that run 8 tasks each; next gives the machines'
+// unchanged reports in turn.
+func largeFleet(b *testing.B) (m *Manager, now *micros.Time, next func() *wire.Report) {
+	const machines, each = 2000, 8
+	now = new(micros.Time)
+	*now = 1000
+	m, err := New(*now, Config{Token: token, Teams: []settings.Team{{Name: "red"}}, Lease: 26 * micros.Second, Report: 5 * micros.Second,
+		Margin: micros.Second, Cancel: 56 * micros.Second, Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, Directs: 100,
+		TxnOps: 32, ValueKB: 8}, 0, nil, nil, json.Unmarshal)
+	if err != nil {
+		b.Fatal(err)
+	}
+	m.SetTypes([]wire.MachineType{{Name: "small", CPUs: 32, MemoryGB: 64, CacheGB: 50, Zones: []string{"a"}}})
+	reports := make([]*wire.Report, machines)
+	for i := range reports {
+		reports[i] = &wire.Report{Machine: fmt.Sprintf("n-%06d", i), Addr: "10.1.0.1:9000", Type: "small", Zone: "a", Session: 1, Token: token}
+	}
+	i := 0
+	next = func() *wire.Report {
+		r := reports[i%machines]
+		i++
+		r.Seq++
+		return r
+	}
+	for range machines {
+		m.Report(*now, next(), "", true)
+	}
+	for j := range 100 {
+		id := fmt.Sprintf("run-%06d", j+1)
+		rec := record(id, machines*each/100, nil)
+		m.JobChanged(*now, 0, rec, uint64(j+1))
+		for k := range machines / 100 {
+			mc := reports[j*machines/100+k]
+			m.Grant(*now, Request{Asks: []Ask{{Job: id, Machine: mc.Machine, Count: each, Lease: lease}}})
+		}
+	}
+	for rev := uint64(1000); ; rev++ {
+		w := m.NextWrite(*now)
+		if w == nil {
+			break
+		}
+		m.Written(*now, w.ID, rev)
+	}
+	for _, r := range reports {
+		for _, a := range sorted(m.machines[r.Machine].attempts) {
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: a.name, Attempt: a.id, State: wire.TaskRunning})
+		}
+		r.Seq++
+		m.Report(*now, r, "", true)
+	}
+	m.View(*now)
+	b.ReportAllocs()
+	b.ResetTimer()
+	return m, now, next
+}
+
+// BenchmarkReport is the leader's work for a report that brings no news.
+func BenchmarkReport(b *testing.B) {
+	m, now, next := largeFleet(b)
+	for b.Loop() {
+		m.Report(*now, next(), "", true)
+	}
+}
+
+// BenchmarkRound is a quarter of a second of the leader: a twentieth of the machines report,
+// and the view and a follower's update are made.
+func BenchmarkRound(b *testing.B) {
+	m, now, next := largeFleet(b)
+	for b.Loop() {
+		for range 100 {
+			m.Report(*now, next(), "", true)
+		}
+		v := m.View(*now)
+		m.Update(*now, v.Version-1)
+	}
+}
+
+// BenchmarkListed is the leader's work for a list of the cloud that brings no news.
+func BenchmarkListed(b *testing.B) {
+	m, now, next := largeFleet(b)
+	var list []wire.Machine
+	for range len(m.machines) {
+		r := next()
+		list = append(list, wire.Machine{ID: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, State: wire.MachineRunning})
+	}
+	for b.Loop() {
+		m.Listed(*now, list)
+		m.View(*now)
+	}
+}
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -46,6 +46,12 @@
 	}
 }
 
+// listing is what a list may change of how a machine is shown; most lists change nothing.
+type listing struct {
+	typ, state string
+	missed     bool
+}
+
 // Listed takes the cloud's list. Absence from it proves nothing.
 func (m *Manager) Listed(now micros.Time, list []wire.Machine) {
 	seen := map[string]bool{}
@@ -55,6 +61,7 @@
 		}
 		seen[l.ID] = true
 		mc := m.machine(now, l.ID)
+		before := listing{mc.typ, mc.state, mc.unlisted > 0}
 		if mc.typ == "" {
 			mc.typ, mc.zone, mc.spot = l.Type, l.Zone, l.Spot
 			mc.born = now.Add(-micros.Seconds(l.AgeS))
@@ -76,7 +83,9 @@
 		if mc.state != wire.MachineFailed {
 			mc.state = l.State
 		}
-		m.touchMachine(mc)
+		if before != (listing{mc.typ, mc.state, false}) {
+			m.touchMachine(mc)
+		}
 		if l.State == wire.MachineFailed && (mc.up || len(mc.attempts) > 0) {
 			m.note("machine failed", "machine", mc.id, "tasks", len(mc.attempts))
 			m.machineGone(now, mc)
@@ -137,7 +146,8 @@
 		if (mc.deaf != 0 || mc.cutOff()) && mc.up && m.probeDue(now, mc) {
 			m.direct[mc.id] = true
 		}
-		if mc.shownUsable != m.usable(now, mc) {
+		// Whether one that has yet to hear us is still coming depends on the time alone.
+		if mc.shownUsable != m.usable(now, mc) || !mc.confirmed && mc.state != wire.MachineStarting {
 			m.touchMachine(mc)
 		}
 	}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -87,6 +87,7 @@
 type attempt struct {
 	job     *job
 	task    int
+	name    string // of the task, set when it is placed
 	id      uint64
 	machine *machine
 	session uint64
@@ -110,8 +111,6 @@
 	stopSent                      micros.Time
 }
 
-func (a *attempt) name() string { return wire.TaskName(a.job.rec.Job.ID, a.task) }
-
 type image struct {
 	gb    float64
 	used  micros.Time
@@ -168,9 +167,11 @@
 	stateOK  bool
 	teams    map[string]*team
 
-	dirty    []dirtyChunk
-	finals   []string
-	cleanup  []string
+	dirty   []dirtyChunk
+	finals  []string
+	cleanup []string
+	// orphans are progress records without a job: late copies of writes made them anew.
+	orphans  []Change
 	writeOut *batch
 	writeNo  uint64
 	notes    []Note
@@ -225,6 +226,7 @@
 		id, n, ok := state.SplitChunkKey(it.Key)
 		j := m.jobs[id]
 		if !ok || j == nil {
+			m.orphans = append(m.orphans, Change{Key: it.Key, Version: it.Version})
 			continue
 		}
 		var rec state.ChunkRecord
@@ -294,10 +296,11 @@
 
 // place enters an attempt into all books.
 func (m *Manager) place(a *attempt) {
+	a.name = wire.TaskName(a.job.rec.Job.ID, a.task)
 	a.job.tasks[a.task] = taskActive
 	a.job.waiting--
 	a.job.active[a.task] = a
-	a.machine.attempts[a.name()] = a
+	a.machine.attempts[a.name] = a
 	if t := m.teams[a.job.rec.Job.Team]; t != nil {
 		t.cpus += a.job.rec.Job.CPUs
 		t.gpus += a.job.rec.Job.GPUs
@@ -314,7 +317,7 @@
 		return
 	}
 	delete(j.active, a.task)
-	delete(a.machine.attempts, a.name())
+	delete(a.machine.attempts, a.name)
 	if t := m.teams[j.rec.Job.Team]; t != nil {
 		t.cpus -= j.rec.Job.CPUs
 		t.gpus -= j.rec.Job.GPUs
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -744,3 +744,16 @@
 	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token})
 	b.want(b.m.Reached("n-1-a"), true)
 }
+
+// A late copy of a write may make a progress record anew after its job is over. It counts
+// for nothing, and the next leader deletes it.
+func TestOrphanedProgressIsDeleted(t *testing.T) {
+	b := newBench(t, nil, []wire.Item{item(state.ChunkKey("run-9", 0), 6,
+		state.ChunkRecord{Active: []state.Placement{{Task: 0, Machine: "n-1-a", Attempt: 99, Session: 1}}})})
+	w := b.m.NextWrite(b.now)
+	b.want(len(w.Changes), 1)
+	b.want(w.Changes[0], Change{Key: state.ChunkKey("run-9", 0), Version: 6})
+	b.m.Written(b.now, w.ID, 101)
+	b.want(b.m.NextWrite(b.now) == nil, true)
+	b.want(len(b.m.machines), 0)
+}
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for _, a := range sorted(mc.attempts) {
-		name := a.name()
+		name := a.name
 		if a.session != r.Session || !a.durable {
 			continue
 		}
@@ -100,7 +100,7 @@
 			if a.session != mc.session || !a.durable || len(d.Body.Commands) >= 100 {
 				continue
 			}
-			name := a.name()
+			name := a.name
 			switch {
 			case a.listed && a.stop && a.stopSent == 0:
 				a.stopSent = now
@@ -148,7 +148,7 @@
 	m.direct[mc.id] = true
 	for _, c := range d.Body.Commands {
 		for _, a := range mc.attempts {
-			if a.id != c.Attempt || a.name() != c.Task || c.Op != wire.OpStart {
+			if a.id != c.Attempt || a.name != c.Task || c.Op != wire.OpStart {
 				continue
 			}
 			a.directOut = false
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -150,7 +150,7 @@
 		if vb.CheckpointS > 0 {
 			grace = vb.SaveS + 1
 		}
-		m.note("task makes room for more urgent work", "task", victim.name(), "machine", best.mc.id, "for", jb.ID)
+		m.note("task makes room for more urgent work", "task", victim.name, "machine", best.mc.id, "for", jb.ID)
 		m.stop(now, victim, grace)
 		if budget--; budget == 0 {
 			return 0
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -133,6 +133,9 @@
 		b.closed = append(b.closed, id)
 		m.cleanup = m.cleanup[1:]
 	}
+	n := min(len(m.orphans), maxOps-len(w.Changes))
+	w.Changes = append(w.Changes, m.orphans[:n]...)
+	m.orphans = m.orphans[n:]
 	if len(w.Changes) == 0 {
 		return nil
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -210,6 +210,12 @@
 			return fmt.Errorf("deployment.%s must be above 0", p.name)
 		}
 	}
+	if d.Limits.MemoryMB < leastMemoryMB {
+		return fmt.Errorf("deployment.quota.mem_mb must be at least %d: the program itself needs as much", leastMemoryMB)
+	}
+	if d.Limits.MaxConnections < leastConnections {
+		return fmt.Errorf("deployment.quota.max_connections must be at least %d: none would be left for workers", leastConnections)
+	}
 	if d.State.TxnOps < 2 {
 		return errors.New("deployment.state.txn_ops must be at least 2")
 	}
@@ -228,6 +234,34 @@
 	return nil
 }
 
+// What a controller needs before it serves anybody, and for each machine.
+const (
+	leastMemoryMB, memoryMBPerMachine = 16, 0.07
+	leastConnections                  = 64
+)
+
+// Tight says where the settings work but leave little room.
+func (s *Settings) Tight() []string {
+	var out []string
+	l, n := s.Deployment.Limits, float64(s.Tuning.MaxMachines)
+	if need := leastMemoryMB + n*memoryMBPerMachine; need > l.MemoryMB*memoryShare {
+		out = append(out, fmt.Sprintf("%d machines may need %.0f MB of memory, the share of quota.mem_mb to be used is %.0f", s.Tuning.MaxMachines, need, l.MemoryMB*memoryShare))
+	}
+	if s.Tuning.MaxMachines > l.MaxConnections*3/4 {
+		out = append(out, fmt.Sprintf("max_machines is %d: more than three quarters of quota.max_connections leaves few for users", s.Tuning.MaxMachines))
+	}
+	return out
+}
+
+// memoryShare is the part of the memory limit that the runtime is told of; the rest is for
+// its own needs and the kernel's buffers.
+const memoryShare = 0.7
+
+// Memory is how much the runtime may use, in bytes.
+func (s *Settings) Memory() int64 {
+	return int64(s.Deployment.Limits.MemoryMB * memoryShare * (1 << 20))
+}
+
 // tune fills in the defaults. Those that the design does not name are derived from
 // the platform's settings.
 func (s *Settings) tune(o *optionspb.Options) error {
@@ -263,7 +297,7 @@
 		Grace:        span(o.GraceS, 20, "grace_s"),
 		RoundBudget:  span(o.RoundBudgetS, 0.02, "round_budget_s"),
 		PreemptAfter: span(o.PreemptAfterS, 1, "preempt_after_s"),
-		MaxMachines:  count(o.MaxMachines, 2000, 100000, "max_machines"),
+		MaxMachines:  count(o.MaxMachines, uint32(max(1, s.Deployment.Limits.MaxConnections*3/4)), 100000, "max_machines"),
 		IdleReturn:   span(o.IdleReturnS, 30, "idle_return_s"),
 		BootPatience: num(o.BootPatience, 3, 1, 100, "boot_patience"),
 		SilentReturn: span(o.SilentReturnS, 3*lease, "silent_return_s"),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -59,6 +59,8 @@
 		{`rps = 200.0`, `rps = 0.0`, "state.rps"},
 		{`mem_mb = 200.0`, `mem_mb = -1.0`, "quota.mem_mb"},
 		{`max_connections = 500`, `max_connections = 0`, "max_connections"},
+		{`max_connections = 500`, `max_connections = 50`, "left for workers"},
+		{`mem_mb = 200.0`, `mem_mb = 8.0`, "the program itself"},
 		{`name = "red"`, `name = ""`, "teams"},
 		{`txn_ops = 8`, `txn_ops = 1`, "txn_ops"},
 		{`nodes = 2`, `nodes = `, "line 14"},
@@ -75,3 +77,22 @@
 		}
 	}
 }
+
+// What works but leaves little room is said, and refused nowhere.
+func TestTightSettings(t *testing.T) {
+	for _, c := range []struct {
+		old, new, options, says string
+	}{
+		{"", "", "", ""},
+		{`mem_mb = 200.0`, `mem_mb = 40.0`, "", "memory"},
+		{"", "", "max_machines: 450", "few for users"},
+	} {
+		s, err := Parse([]byte(strings.Replace(sound, c.old, c.new, 1)), []byte(c.options))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Join(s.Tight(), "; "); c.says == "" && got != "" || !strings.Contains(got, c.says) {
+			t.Errorf("%s %s: %q does not speak of %q", c.new, c.options, got, c.says)
+		}
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 # build that deploy/service.toml names.
 set -euo pipefail
 cd "$(dirname "$0")"
-unformatted=$(gofmt -l cmd internal wire ./*.go)
+unformatted=$(gofmt -l client cmd internal wire ./*.go)
 if [ -n "$unformatted" ]; then
   echo "not formatted: $unformatted" >&2
   exit 1
