--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -56,10 +56,10 @@
 			continue
 		}
 		sum := 0.0
-		var cpus, mem float64
+		var space manager.Space
 		for _, a := range list {
 			sum += float64(a.tasks*a.tasks) * a.job.Estimate.Seconds()
-			cpus, mem = cpus+a.job.CPUs, mem+a.job.MemoryGB
+			space = space.Plus(a.job.Space, 1)
 		}
 		n := int(math.Round(factor * math.Sqrt(sum/span.Seconds())))
 		if n == 0 {
@@ -67,7 +67,7 @@
 		}
 		typical := *list[len(list)-1].job
 		typical.ID = ""
-		typical.CPUs, typical.MemoryGB = cpus/float64(len(list)), mem/float64(len(list))
+		typical.Space = manager.Space{}.Plus(space, 1/float64(len(list)))
 		typical.Types, typical.Zone = nil, nil
 		out = append(out, &want{JobView: &typical, n: n, urgent: true, expected: true})
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -93,17 +93,11 @@
 	zone string
 	spot bool
 	keep string // the job for which its room is kept
-	room room
+	room manager.Space
 	used bool
 	// later is what work that ends before long frees, for jobs whose start has no aim; soon
 	// what work frees well before a new machine would be up, for the others.
-	later, soon room
-}
-
-type room struct{ cpus, gpus, mem float64 }
-
-func (r *room) add(cpus, gpus, mem float64) {
-	r.cpus, r.gpus, r.mem = r.cpus+cpus, r.gpus+gpus, r.mem+mem
+	later, soon manager.Space
 }
 
 // want is a number of tasks of a job.
@@ -127,19 +121,18 @@
 	switch {
 	case w.expected:
 	case w.urgent:
-		have.add(b.soon.cpus, b.soon.gpus, b.soon.mem)
+		have = have.Plus(b.soon, 1)
 	default:
-		have.add(b.later.cpus, b.later.gpus, b.later.mem)
+		have = have.Plus(b.later, 1)
 	}
-	n := manager.Fit(manager.Fit(manager.Fit(w.n, have.cpus, w.CPUs), have.gpus, w.GPUs), have.mem, w.MemoryGB)
+	n := have.Holds(w.Space, w.n)
 	if n <= 0 {
 		return 0
 	}
 	if !w.Allows(b.typ, b.zone, b.spot) {
 		return 0
 	}
-	k := float64(n)
-	b.room.add(-k*w.CPUs, -k*w.GPUs, -k*w.MemoryGB)
+	b.room = b.room.Plus(w.Space, -float64(n))
 	b.used = true
 	return n
 }
@@ -213,7 +206,7 @@
 		if t == nil || m.Suspect != "" {
 			continue
 		}
-		b := &bin{id: m.ID, typ: t, zone: m.Zone, spot: m.Spot, keep: m.Keep, room: room{m.CPUs, m.GPUs, m.MemoryGB}}
+		b := &bin{id: m.ID, typ: t, zone: m.Zone, spot: m.Spot, keep: m.Keep, room: m.Space}
 		switch {
 		case m.Usable:
 			for _, g := range m.Leases {
@@ -223,10 +216,10 @@
 						continue
 					}
 					if left < f.cfg.Tuning.HireAhead {
-						b.later.add(g.CPUs, g.GPUs, g.MemoryGB)
+						b.later = b.later.Plus(g.Space, 1)
 					}
 					if left < micros.Seconds(t.BootS/2) {
-						b.soon.add(g.CPUs, g.GPUs, g.MemoryGB)
+						b.soon = b.soon.Plus(g.Space, 1)
 					}
 				}
 			}
@@ -248,7 +241,7 @@
 }
 
 func newBin(t *wire.MachineType, p place) *bin {
-	return &bin{typ: t, zone: p.zone, spot: p.spot, room: room{t.CPUs, t.GPUs, t.MemoryGB}}
+	return &bin{typ: t, zone: p.zone, spot: p.spot, room: manager.Whole(t)}
 }
 
 // shortage places the queued tasks into the room there is and gives those left. Jobs that
@@ -265,7 +258,7 @@
 		return cmp.Or(a.choices-b.choices, cmp.Compare(b.Priority, a.Priority), cmp.Compare(b.CPUs, a.CPUs))
 	})
 	slices.SortStableFunc(bins, func(a, b *bin) int {
-		return cmp.Or(cmp.Compare(a.typ.CPUs, b.typ.CPUs), cmp.Compare(a.room.cpus, b.room.cpus))
+		return cmp.Or(cmp.Compare(a.typ.CPUs, b.typ.CPUs), cmp.Compare(a.room.CPUs, b.room.CPUs))
 	})
 	var short []*want
 	for _, w := range slices.Concat(wants, f.demand.expect(v.Now, f.cfg.Tuning.Reserve)) {
--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -75,9 +75,8 @@
 	if !jb.Allows(mc.spec, mc.zone, mc.spot) || !m.zoneAllows(j, mc.zone) || m.room(j) < 1 {
 		return nil
 	}
-	const slack = 1e-9
-	cpus, gpus, mem := m.free(mc)
-	if jb.CPUs > cpus+slack || jb.GPUs > gpus+slack || jb.MemoryGB > mem+slack {
+	free, need := m.free(mc), Need(jb)
+	if !free.Fits(need) {
 		return nil
 	}
 	if m.next+1 >= 1<<attemptBits {
@@ -95,7 +94,7 @@
 	m.place(a)
 	m.touch(now, j, a.task, true)
 	// Room was kept for the job until the machine had as many of its tasks as it takes.
-	if mc.keep == ask.Job && !(&space{cpus - jb.CPUs, gpus - jb.GPUs, mem - jb.MemoryGB}).fits(jb) {
+	if mc.keep == ask.Job && !free.Plus(need, -1).Fits(need) {
 		mc.keep = ""
 	}
 	return a
@@ -113,10 +112,10 @@
 	}
 	n := wire.MaxTasks
 	if t.CPUsMax > 0 {
-		n = Fit(n, t.CPUsMax-t.cpus, j.rec.Job.CPUs)
+		n = fit(n, t.CPUsMax-t.cpus, j.rec.Job.CPUs)
 	}
 	if t.GPUsMax > 0 {
-		n = Fit(n, t.GPUsMax-t.gpus, j.rec.Job.GPUs)
+		n = fit(n, t.GPUsMax-t.gpus, j.rec.Job.GPUs)
 	}
 	return max(0, n)
 }
--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		kept++
-		mine[mc.keep] += m.holds(mc, &m.jobs[mc.keep].rec.Job)
+		mine[mc.keep] += Whole(mc.spec).Holds(Need(&m.jobs[mc.keep].rec.Job), wire.MaxTasks)
 	}
 	starved := m.waitingFor(now, m.cfg.Tuning.KeepAfter)
 	slices.SortStableFunc(starved, func(a, b *job) int { return cmp.Compare(a.waitSince, b.waitSince) })
@@ -46,18 +46,13 @@
 			}
 			mc.keep = j.rec.Job.ID
 			m.touchMachine(mc)
-			mine[mc.keep] += m.holds(mc, &j.rec.Job)
+			mine[mc.keep] += Whole(mc.spec).Holds(Need(&j.rec.Job), wire.MaxTasks)
 			kept++
 			m.note("room is kept for a job that has waited long", "job", mc.keep, "machine", mc.id)
 		}
 	}
 }
 
-// holds is how many tasks of a job an empty machine takes.
-func (m *Manager) holds(mc *machine, jb *wire.Job) int {
-	return Fit(Fit(Fit(wire.MaxTasks, mc.spec.CPUs, jb.CPUs), mc.spec.GPUs, jb.GPUs), mc.spec.MemoryGB, jb.MemoryGB)
-}
-
 // soonest is the machine on which a task of the job should find room first, by the
 // owners' estimates, when nothing else is placed there.
 func (m *Manager) soonest(now micros.Time, j *job) *machine {
@@ -77,9 +72,8 @@
 }
 
 func (m *Manager) fitsAt(now micros.Time, mc *machine, jb *wire.Job) (micros.Time, bool) {
-	var s space
-	s.cpus, s.gpus, s.mem = m.free(mc)
-	if s.fits(jb) {
+	room, need := m.free(mc), Need(jb)
+	if room.Fits(need) {
 		return now, true
 	}
 	type end struct {
@@ -92,8 +86,8 @@
 	}
 	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.a.id, b.a.id)) })
 	for _, e := range ends {
-		s.add(&e.a.job.rec.Job, 1)
-		if s.fits(jb) {
+		room = room.Plus(Need(&e.a.job.rec.Job), 1)
+		if room.Fits(need) {
 			return e.at, true
 		}
 	}
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -224,25 +224,23 @@
 }
 
 // free gives a machine's resources that no attempt or stray may be using.
-func (m *Manager) free(mc *machine) (cpus, gpus, mem float64) {
+func (m *Manager) free(mc *machine) Space {
 	if mc.spec == nil {
-		return 0, 0, 0
+		return Space{}
 	}
-	cpus, gpus, mem = mc.spec.CPUs, mc.spec.GPUs, mc.spec.MemoryGB
+	free := Whole(mc.spec)
 	for _, a := range mc.attempts {
-		jb := &a.job.rec.Job
-		cpus, gpus, mem = cpus-jb.CPUs, gpus-jb.GPUs, mem-jb.MemoryGB
+		free = free.Plus(Need(&a.job.rec.Job), -1)
 	}
 	for _, tr := range mc.strays {
 		id, _, _ := wire.SplitTask(tr.Task)
 		j := m.jobs[id]
 		if j == nil {
-			return 0, 0, 0
+			return Space{}
 		}
-		jb := &j.rec.Job
-		cpus, gpus, mem = cpus-jb.CPUs, gpus-jb.GPUs, mem-jb.MemoryGB
+		free = free.Plus(Need(&j.rec.Job), -1)
 	}
-	return cpus, gpus, mem
+	return free
 }
 
 func (m *Manager) usable(now micros.Time, mc *machine) bool {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -158,7 +158,6 @@
 	cfg      Config
 	next     uint64
 	jobs     map[string]*job
-	order    []string // job ids by arrival
 	removed  map[string]uint64
 	machines map[string]*machine
 	gone     map[string]bool
@@ -237,8 +236,7 @@
 			return nil, fmt.Errorf("record %s: %w", it.Key, err)
 		}
 	}
-	for _, id := range m.order {
-		j := m.jobs[id]
+	for _, j := range m.byArrival(func(*job) bool { return true }) {
 		// A job cancelled under an earlier leader may still have tasks running.
 		if j.over != "" {
 			m.stopAll(now, j)
@@ -248,6 +246,18 @@
 	return m, nil
 }
 
+// byArrival gives the jobs that are wanted, the oldest first.
+func (m *Manager) byArrival(wanted func(*job) bool) []*job {
+	var out []*job
+	for _, j := range m.jobs {
+		if wanted(j) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.arrival, b.arrival) })
+	return out
+}
+
 func (m *Manager) addJob(now micros.Time, wall int64, rec state.OpenRecord, version uint64) *job {
 	j := &job{rec: rec, version: version, tasks: make([]byte, rec.Job.Tasks), waiting: rec.Job.Tasks,
 		active: map[int]*attempt{}, chunks: map[int]*chunk{}, over: rec.Over, failed: map[string]int{}}
@@ -261,7 +271,6 @@
 		j.due = j.born.Add(micros.Seconds(*d))
 	}
 	m.jobs[rec.Job.ID] = j
-	m.order = append(m.order, rec.Job.ID)
 	m.touchJob(j)
 	return j
 }
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -8,23 +8,11 @@
 	"saffronbend/wire"
 )
 
-// space is room on a machine, or a share of room.
-type space struct{ cpus, gpus, mem float64 }
-
-func (s *space) fits(jb *wire.Job) bool {
-	const slack = 1e-9
-	return jb.CPUs <= s.cpus+slack && jb.GPUs <= s.gpus+slack && jb.MemoryGB <= s.mem+slack
-}
-
-func (s *space) add(jb *wire.Job, n float64) {
-	s.cpus, s.gpus, s.mem = s.cpus+n*jb.CPUs, s.gpus+n*jb.GPUs, s.mem+n*jb.MemoryGB
-}
-
 // yard is a machine as displacement sees it: its room, what is being stopped included,
 // and the tasks on it that may make room.
 type yard struct {
 	mc      *machine
-	room    space
+	room    Space
 	victims []*attempt
 }
 
@@ -34,7 +22,7 @@
 func (m *Manager) Preempt(now micros.Time, spent func() bool) {
 	var needy []*job
 	for _, j := range m.waitingFor(now, m.cfg.Tuning.PreemptAfter) {
-		if j.rec.Job.Priority() > 0 || m.guaranteed(j, space{}) {
+		if j.rec.Job.Priority() > 0 || m.guaranteed(j, Space{}) {
 			needy = append(needy, j)
 		}
 	}
@@ -47,7 +35,7 @@
 	}
 	m.preemptFrom = ""
 	yards := m.yards(now)
-	promised := map[string]space{}
+	promised := map[string]Space{}
 	budget := 4
 	for _, j := range needy {
 		if spent() {
@@ -63,14 +51,9 @@
 // waitingFor gives the jobs, by arrival, that could have tasks placed and have waited longer
 // than this without one of them being placed.
 func (m *Manager) waitingFor(now micros.Time, longer micros.Span) []*job {
-	var out []*job
-	for _, id := range m.order {
-		j := m.jobs[id]
-		if j.over == "" && j.waiting > 0 && now >= j.notBefore && m.room(j) > 0 && now.Sub(j.waitSince) > longer {
-			out = append(out, j)
-		}
-	}
-	return out
+	return m.byArrival(func(j *job) bool {
+		return j.over == "" && j.waiting > 0 && now >= j.notBefore && m.room(j) > 0 && now.Sub(j.waitSince) > longer
+	})
 }
 
 func (m *Manager) yards(now micros.Time) []*yard {
@@ -79,13 +62,12 @@
 		if !m.usable(now, mc) {
 			continue
 		}
-		y := &yard{mc: mc}
-		y.room.cpus, y.room.gpus, y.room.mem = m.free(mc)
+		y := &yard{mc: mc, room: m.free(mc)}
 		for _, a := range mc.attempts {
 			jb := &a.job.rec.Job
 			switch {
 			case a.stop:
-				y.room.add(jb, 1)
+				y.room = y.room.Plus(Need(jb), 1)
 			case a.kept:
 				// It has waited long for this room.
 			case a.state != wire.TaskRunning || jb.CheckpointS > 0: // else its work would be lost
@@ -101,8 +83,9 @@
 
 // displace finds room for a job's waiting tasks, and stops others' tasks where there is
 // none; it gives what is left of the budget.
-func (m *Manager) displace(now micros.Time, j *job, yards []*yard, promised map[string]space, budget int) int {
+func (m *Manager) displace(now micros.Time, j *job, yards []*yard, promised map[string]Space, budget int) int {
 	jb := &j.rec.Job
+	need := Need(jb)
 	var mine []*yard
 	for _, y := range yards {
 		if jb.Allows(y.mc.spec, y.mc.zone, y.mc.spot) && m.zoneAllows(j, y.mc.zone) && j.failed[y.mc.id] == 0 &&
@@ -111,14 +94,12 @@
 		}
 	}
 	take := func(y *yard) {
-		y.room.add(jb, -1)
-		p := promised[jb.Team]
-		p.add(jb, 1)
-		promised[jb.Team] = p
+		y.room = y.room.Plus(need, -1)
+		promised[jb.Team] = promised[jb.Team].Plus(need, 1)
 	}
 	next := 0
 	for range min(j.waiting, m.room(j), 64) {
-		for next < len(mine) && !mine[next].room.fits(jb) {
+		for next < len(mine) && !mine[next].room.Fits(need) {
 			next++
 		}
 		if next < len(mine) {
@@ -133,9 +114,8 @@
 				if a.stop || !m.displaces(j, a.job, promised[jb.Team]) {
 					continue
 				}
-				after := y.room
-				after.add(&a.job.rec.Job, 1)
-				if loss := loss(a); loss < least && after.fits(jb) {
+				after := y.room.Plus(Need(&a.job.rec.Job), 1)
+				if loss := loss(a); loss < least && after.Fits(need) {
 					best, victim, least = y, a, loss
 				}
 			}
@@ -144,7 +124,7 @@
 			return budget
 		}
 		vb := &victim.job.rec.Job
-		best.room.add(vb, 1)
+		best.room = best.room.Plus(Need(vb), 1)
 		take(best)
 		grace := 0.0
 		if vb.CheckpointS > 0 {
@@ -169,15 +149,15 @@
 
 // guaranteed tells whether the team's guarantee covers another task of the job, beside
 // what has been promised to the team in this round.
-func (m *Manager) guaranteed(j *job, promised space) bool {
+func (m *Manager) guaranteed(j *job, promised Space) bool {
 	t, jb := m.teams[j.rec.Job.Team], &j.rec.Job
-	return t != nil && t.CPUs+t.GPUs > 0 && t.cpus+promised.cpus+jb.CPUs <= t.CPUs && t.gpus+promised.gpus+jb.GPUs <= t.GPUs
+	return t != nil && t.CPUs+t.GPUs > 0 && t.cpus+promised.CPUs+jb.CPUs <= t.CPUs && t.gpus+promised.GPUs+jb.GPUs <= t.GPUs
 }
 
 // displaces tells whether a job may displace another's task: one of lower priority, or
 // one that another team runs beyond its own guarantee where the job's team has not
 // got its own.
-func (m *Manager) displaces(j, other *job, promised space) bool {
+func (m *Manager) displaces(j, other *job, promised Space) bool {
 	if other.rec.Job.Priority() < j.rec.Job.Priority() {
 		return true
 	}
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -199,7 +199,7 @@
 		State: mc.state, Failed: mc.state == wire.MachineFailed, Deleting: mc.deleting,
 		Suspect: mc.suspect, Missing: m.missing(mc), Born: mc.born, Heard: mc.lastHeard, Deaf: mc.deaf}
 	mc.shownUsable = mv.Usable
-	mv.CPUs, mv.GPUs, mv.MemoryGB = m.free(mc)
+	mv.Space = m.free(mc)
 	// A machine that has just come up reports twice before it is usable: the second
 	// time it has our token.
 	mv.Coming = mc.spec != nil && mc.notice == 0 && !mc.deleting && mc.suspect == "" && !mv.Failed &&
@@ -222,7 +222,7 @@
 		if !ok {
 			i = len(mv.Leases)
 			groups[jb.ID] = i
-			mv.Leases = append(mv.Leases, LeaseGroup{Job: jb.ID, CPUs: jb.CPUs, GPUs: jb.GPUs, MemoryGB: jb.MemoryGB})
+			mv.Leases = append(mv.Leases, LeaseGroup{Job: jb.ID, Space: Need(jb)})
 		}
 		mv.Leases[i].Leases = append(mv.Leases[i].Leases, Lease{Attempt: a.id, Ends: a.leaseEnd, Waiter: a.waiter,
 			Until: a.waiterUntil, Due: m.expectedEnd(now, a)})
@@ -232,8 +232,8 @@
 
 // same tells whether schedulers see the machine as in an earlier view.
 func (m *MachineView) same(o *MachineView) bool {
-	return m.Type == o.Type && m.Zone == o.Zone && m.Spot == o.Spot && m.Usable == o.Usable && m.CPUs == o.CPUs &&
-		m.GPUs == o.GPUs && m.MemoryGB == o.MemoryGB && m.Keep == o.Keep && slices.Equal(m.Images, o.Images) &&
+	return m.Type == o.Type && m.Zone == o.Zone && m.Spot == o.Spot && m.Usable == o.Usable && m.Space == o.Space &&
+		m.Keep == o.Keep && slices.Equal(m.Images, o.Images) &&
 		slices.Equal(m.Fetching, o.Fetching) &&
 		slices.EqualFunc(m.Leases, o.Leases, func(a, b LeaseGroup) bool {
 			return a.Job == b.Job && slices.EqualFunc(a.Leases, b.Leases, func(x, y Lease) bool {
@@ -244,8 +244,8 @@
 
 func (m *Manager) showJob(j *job) *JobView {
 	jb := &j.rec.Job
-	jv := &JobView{ID: jb.ID, Class: jb.Class, Team: jb.Team, Priority: jb.Priority(), CPUs: jb.CPUs, GPUs: jb.GPUs,
-		MemoryGB: jb.MemoryGB, Image: jb.Image, ImageGB: jb.ImageGB, Types: jb.Types, Zone: jb.Zone, Spot: jb.Spot,
+	jv := &JobView{ID: jb.ID, Class: jb.Class, Team: jb.Team, Priority: jb.Priority(), Space: Need(jb),
+		Image: jb.Image, ImageGB: jb.ImageGB, Types: jb.Types, Zone: jb.Zone, Spot: jb.Spot,
 		OneZone: jb.OneZone, Gang: jb.Kind == wire.KindGang, Estimate: m.estimate(j), Waiting: j.waiting, Active: len(j.active),
 		Done: j.done, NotBefore: j.notBefore, Born: j.born, Due: j.due, Since: j.waitSince, arrival: j.arrival}
 	if jb.Spread {
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -46,14 +46,12 @@
 
 // MachineView is a machine as schedulers and fleet see it.
 type MachineView struct {
-	ID       string  `json:"id"`
-	Type     string  `json:"t"`
-	Zone     string  `json:"z"`
-	Spot     bool    `json:"s,omitempty"`
-	Usable   bool    `json:"u,omitempty"` // takes new tasks now
-	CPUs     float64 `json:"c"`           // free
-	GPUs     float64 `json:"g,omitempty"`
-	MemoryGB float64 `json:"m"`
+	ID     string `json:"id"`
+	Type   string `json:"t"`
+	Zone   string `json:"z"`
+	Spot   bool   `json:"s,omitempty"`
+	Usable bool   `json:"u,omitempty"` // takes new tasks now
+	Space         // free
 	// Keep names the job that waits longest and for which the machine's room is kept.
 	Keep   string   `json:"k,omitempty"`
 	Images []string `json:"i,omitempty"`
@@ -83,11 +81,9 @@
 
 // LeaseGroup holds the leases of a job's tasks on a machine.
 type LeaseGroup struct {
-	Job      string  `json:"j"`
-	CPUs     float64 `json:"c"` // of each
-	GPUs     float64 `json:"g,omitempty"`
-	MemoryGB float64 `json:"m"`
-	Leases   []Lease `json:"l"`
+	Job    string  `json:"j"`
+	Space          // of each
+	Leases []Lease `json:"l"`
 }
 
 // Lease is the lease of one attempt.
@@ -107,9 +103,7 @@
 	Class    string        `json:"class"`
 	Team     string        `json:"team"`
 	Priority wire.Priority `json:"prio"`
-	CPUs     float64       `json:"cpus"`
-	GPUs     float64       `json:"gpus,omitempty"`
-	MemoryGB float64       `json:"mem"`
+	Space                  // of each task
 	Image    string        `json:"image"`
 	ImageGB  float64       `json:"image_gb"`
 	Types    []string      `json:"types,omitempty"`
@@ -146,23 +140,15 @@
 	n := j.Waiting
 	if r, ok := v.Rooms[j.Team]; ok {
 		if r.CPUs != nil {
-			n = Fit(n, *r.CPUs, j.CPUs)
+			n = fit(n, *r.CPUs, j.CPUs)
 		}
 		if r.GPUs != nil {
-			n = Fit(n, *r.GPUs, j.GPUs)
+			n = fit(n, *r.GPUs, j.GPUs)
 		}
 	}
 	return max(0, n)
 }
 
-// Fit gives n, or the number that there is room for where that is less.
-func Fit(n int, room, each float64) int {
-	if each <= 0 {
-		return n
-	}
-	return min(n, int(room/each+1e-9))
-}
-
 // Allows tells whether a task of the job may run on a machine of the type, in the zone.
 func (j *JobView) Allows(t *wire.MachineType, zone string, spot bool) bool {
 	jb := wire.Job{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Types: j.Types, Zone: j.Zone, Spot: j.Spot}
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -249,7 +249,6 @@
 		m.removed[id] = revision
 		m.shown.jobsHit[id] = true
 		delete(m.jobs, id)
-		m.order = slices.DeleteFunc(m.order, func(x string) bool { return x == id })
 	}
 	m.shown.changed = true
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,11 +48,11 @@
 // machine is the scheduler's own copy of a machine; the view is shared with others.
 type machine struct {
 	*manager.MachineView
-	typ             *wire.MachineType
-	cpus, gpus, mem float64         // left in this view
-	claimed         map[uint64]bool // leases whose waiter's place we have taken in this view
-	fetching        map[string]bool // images that our grants make it fetch
-	dirty           bool            // differs from the view
+	typ      *wire.MachineType
+	left     manager.Space   // in this view
+	claimed  map[uint64]bool // leases whose waiter's place we have taken in this view
+	fetching map[string]bool // images that our grants make it fetch
+	dirty    bool            // differs from the view
 }
 
 // New makes a scheduler for a controller.
@@ -148,7 +148,7 @@
 			s.known[mv.ID] = m
 		}
 		if m.MachineView != mv || m.dirty {
-			*m = machine{MachineView: mv, typ: s.types[mv.Type], cpus: mv.CPUs, gpus: mv.GPUs, mem: mv.MemoryGB}
+			*m = machine{MachineView: mv, typ: s.types[mv.Type], left: mv.Space}
 		}
 		order = append(order, m)
 	}
@@ -354,16 +354,13 @@
 	if c.wait != 0 {
 		return
 	}
-	n := float64(sign * c.count)
 	c.m.dirty = true
-	c.m.cpus, c.m.gpus, c.m.mem = c.m.cpus-n*j.CPUs, c.m.gpus-n*j.GPUs, c.m.mem-n*j.MemoryGB
+	c.m.left = c.m.left.Plus(j.Space, -float64(sign*c.count))
 	if j.inZone != nil {
 		j.inZone[c.m.Zone] += sign * c.count
 	}
 }
 
-const slack = 1e-9
-
 // room is how many tasks of the job a machine takes now.
 func (s *Scheduler) room(j *queued, m *machine) int {
 	if !s.zoneAllows(j, m.Zone) {
@@ -373,7 +370,7 @@
 	if j.ZoneMax > 0 {
 		n = j.ZoneMax - j.inZone[m.Zone]
 	}
-	return manager.Fit(manager.Fit(manager.Fit(n, m.cpus, j.CPUs), m.gpus, j.GPUs), m.mem, j.MemoryGB)
+	return m.left.Holds(j.Space, n)
 }
 
 // candidates gives the machines that have room for the job, the best first: with the
@@ -382,7 +379,7 @@
 	var out []choice
 	ranks := map[*machine]int{}
 	for _, m := range s.order {
-		if !m.Usable || j.CPUs > m.cpus+slack || j.GPUs > m.gpus+slack || j.MemoryGB > m.mem+slack || !s.allows(j, m) {
+		if !m.Usable || !m.left.Fits(j.Space) || !s.allows(j, m) {
 			continue
 		}
 		c := choice{m: m, local: slices.Contains(m.Images, j.Image)}
@@ -421,7 +418,7 @@
 		}
 		return 1
 	}
-	return cmp.Compare(a.cpus, b.cpus)
+	return cmp.Compare(a.left.CPUs, b.left.CPUs)
 }
 
 // settleZone chooses the zone of a job that wants all its tasks in one: where most of
@@ -484,7 +481,7 @@
 }
 
 func fitsAfter(j *queued, m *machine, l manager.LeaseGroup) bool {
-	return j.CPUs <= m.cpus+l.CPUs+slack && j.GPUs <= m.gpus+l.GPUs+slack && j.MemoryGB <= m.mem+l.MemoryGB+slack
+	return m.left.Plus(l.Space, 1).Fits(j.Space)
 }
 
 // waits gives the leases on machines with the image that end before a cold fetch on the
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -20,11 +20,11 @@
 }
 
 func machineView(id string, cpus float64, images ...string) *manager.MachineView {
-	return &manager.MachineView{ID: id, Type: "small", Zone: "a", Usable: true, CPUs: cpus, MemoryGB: 16, Images: images}
+	return &manager.MachineView{ID: id, Type: "small", Zone: "a", Usable: true, Space: manager.Space{CPUs: cpus, MemoryGB: 16}, Images: images}
 }
 
 func jobView(id string, waiting int) *manager.JobView {
-	return &manager.JobView{ID: id, Team: "red", CPUs: 8, MemoryGB: 1, Image: "img", ImageGB: 1, Waiting: waiting, Priority: 1,
+	return &manager.JobView{ID: id, Team: "red", Space: manager.Space{CPUs: 8, MemoryGB: 1}, Image: "img", ImageGB: 1, Waiting: waiting, Priority: 1,
 		Estimate: 10 * micros.Second, Born: now, Since: now}
 }
 
@@ -75,7 +75,7 @@
 // before a cold fetch would, then the fetch.
 func TestImageThenWaitThenFetch(t *testing.T) {
 	busy := machineView("n-2", 0, "img")
-	busy.Leases = []manager.LeaseGroup{{Job: "run-9", CPUs: 8, MemoryGB: 1, Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(5 * micros.Second)}}}}
+	busy.Leases = []manager.LeaseGroup{{Job: "run-9", Space: manager.Space{CPUs: 8, MemoryGB: 1}, Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(5 * micros.Second)}}}}
 	ms := []*manager.MachineView{machineView("n-1", 8, "img"), busy, machineView("n-3", 8)}
 	want(t, asked(newScheduler(), ms, jobView("run-1", 3)), "run-1 n-1 x1", "run-1 n-2 after 7", "run-1 n-3 x1")
 	busy.Leases[0].Leases[0].Ends = now.Add(15 * micros.Second) // a fetch takes 10 s
@@ -87,7 +87,7 @@
 func TestOneWaiterForALease(t *testing.T) {
 	for waiter, asks := range map[string][]string{"run-1": nil, "run-8": {"run-1 n-3 x1"}} {
 		busy := machineView("n-2", 0, "img")
-		busy.Leases = []manager.LeaseGroup{{Job: "run-9", CPUs: 8, MemoryGB: 1,
+		busy.Leases = []manager.LeaseGroup{{Job: "run-9", Space: manager.Space{CPUs: 8, MemoryGB: 1},
 			Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(5 * micros.Second), Waiter: waiter, Until: now.Add(25 * micros.Second)}}}}
 		s := newScheduler()
 		s.tuning.MinLocality = 0
@@ -99,7 +99,7 @@
 // longer than the skip.
 func TestSkipIsBounded(t *testing.T) {
 	busy := machineView("n-2", 0, "img")
-	busy.Leases = []manager.LeaseGroup{{Job: "run-9", CPUs: 8, MemoryGB: 1,
+	busy.Leases = []manager.LeaseGroup{{Job: "run-9", Space: manager.Space{CPUs: 8, MemoryGB: 1},
 		Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(8 * micros.Second), Waiter: "run-8", Until: now.Add(28 * micros.Second)}}}}
 	ms := []*manager.MachineView{busy, machineView("n-3", 8)}
 	s := newScheduler()
