While work is short a few idle machines stay for longer; workers that change over are asked at once

Their number now follows the root of the fleet. A worker that a follower passes on for was often cut off itself and is back: it is asked at once instead of after 15 s.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 
@@ -152,7 +153,7 @@
 	bins, count := f.bins(v, acts.Return)
 	short := f.shortage(v, bins)
 	f.rent(now, short, count, &acts)
-	f.returnIdle(v, bins, &acts)
+	f.returnIdle(v, bins, len(short) > 0, &acts)
 	return acts
 }
 
@@ -387,13 +388,19 @@
 
 // returnIdle returns machines that nothing needs. Ordinary machines go sooner where
 // they cost more.
-func (f *Fleet) returnIdle(v *manager.View, bins []*bin, acts *Actions) {
+func (f *Fleet) returnIdle(v *manager.View, bins []*bin, short bool, acts *Actions) {
 	needed := map[string]bool{}
 	for _, b := range bins {
 		if b.used {
 			needed[b.id] = true
 		}
 	}
+	// Other work that is short of room, though not of these machines', is a sign of pressure.
+	// Then a few may stay for longer: as what comes varies by, the root of their number.
+	spare := 0
+	if short {
+		spare = int(math.Sqrt(float64(len(v.Machines))))
+	}
 	for _, m := range v.Machines {
 		if !m.Usable || !m.Proven() || needed[m.ID] {
 			continue
@@ -407,7 +414,11 @@
 		if !m.Spot && t.SpotPrice < t.Price {
 			limit = limit.Scale(t.SpotPrice / t.Price)
 		}
-		if idle > limit {
+		switch {
+		case idle <= limit:
+		case spare > 0 && idle < 2*f.cfg.Tuning.IdleReturn:
+			spare--
+		default:
 			acts.Return = append(acts.Return, m.ID)
 			acts.Notes = append(acts.Notes, Note{m.ID, "idle"})
 		}
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -127,7 +127,7 @@
 func (m *Manager) probeDue(now micros.Time, mc *machine) bool {
 	const pause, cutPause = 3 * micros.Second, 15 * micros.Second
 	if mc.cutOff() {
-		return now.Sub(mc.probed) >= cutPause
+		return mc.probed == 0 || now.Sub(mc.probed) >= cutPause
 	}
 	patience := micros.Span(0)
 	if !mc.confirmed {
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -30,8 +30,10 @@
 		m.heard(mc)
 	}
 	if via != "" && mc.via == "" {
-		// It has left us for lack of an answer: direct orders won't reach it either.
-		mc.directOK, mc.probed = false, now
+		// It has left us for lack of an answer, so direct orders may not reach it either.
+		// It is asked at once: it may only have been cut off itself, and be back.
+		mc.directOK, mc.probed = false, 0
+		m.direct[mc.id] = true
 	}
 	mc.via = via
 	mc.lastReport = now
