A new leader asks machines that don't report; the proof of a lease's end counts from our token

Found on the way: where a worker got our token by a direct order, an earlier leader may have renewed its lease after its last report to us; the proof now counts from the order's answer (TestMachineThatDoesNotReportIsAsked).

--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -143,7 +143,7 @@
 		if mc.notice != 0 {
 			m.vacate(now, mc)
 		}
-		if (mc.deaf != 0 || mc.cutOff()) && mc.up && m.probeDue(now, mc) {
+		if m.toProbe(mc) && m.probeDue(now, mc) {
 			m.direct[mc.id] = true
 		}
 		// Whether one that has yet to hear us is still coming depends on the time alone.
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -156,6 +156,7 @@
 // Manager is the state of a term.
 type Manager struct {
 	cfg      Config
+	born     micros.Time
 	next     uint64
 	jobs     map[string]*job
 	removed  map[string]uint64
@@ -207,7 +208,7 @@
 
 // New starts a term with what the state service holds.
 func New(now micros.Time, cfg Config, wall int64, open []wire.Item, chunks []wire.Item, decode func([]byte, any) error) (*Manager, error) {
-	m := &Manager{cfg: cfg, jobs: map[string]*job{}, removed: map[string]uint64{}, machines: map[string]*machine{},
+	m := &Manager{cfg: cfg, born: now, jobs: map[string]*job{}, removed: map[string]uint64{}, machines: map[string]*machine{},
 		gone: map[string]bool{}, types: map[string]*wire.MachineType{}, assign: map[string]string{},
 		teams: map[string]*team{}, stateOK: true, direct: map[string]bool{}, guesses: map[string]float64{},
 		shown: shown{touched: map[string]bool{}, jobsHit: map[string]bool{}, changed: true}}
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -760,3 +760,33 @@
 	b.want(b.m.NextWrite(b.now) == nil, true)
 	b.want(len(b.m.machines), 0)
 }
+
+// A machine that runs but does not report to a new leader is asked, in the session in which
+// its tasks were placed; it may be with an earlier leader that is cut off from all but its
+// workers. The proof of its lease's end counts from when it had our token, not from before.
+func TestMachineThatDoesNotReportIsAsked(t *testing.T) {
+	open := []wire.Item{item(state.OpenKey("run-1"), 5, record("run-1", 1, nil))}
+	chunks := []wire.Item{item(state.ChunkKey("run-1", 0), 6,
+		state.ChunkRecord{Active: []state.Placement{{Task: 0, Machine: "n-1-a", Attempt: 99, Session: 3}}})}
+	b := newBench(t, open, chunks)
+	b.m.Listed(b.now, []wire.Machine{{ID: "n-1-a", Addr: "10.1.0.1:9000", Type: "small", Zone: "a", State: wire.MachineRunning}})
+	b.tick()
+	b.want(len(b.m.Directs(b.now, true)), 0) // it may yet report by itself
+	b.wait(2 * micros.Second)
+	b.tick()
+	d := b.m.Directs(b.now, true)
+	b.want(len(d), 1)
+	b.want(d[0].Body.Session, uint64(3))
+	b.want(len(d[0].Body.Commands), 0)
+	// An earlier leader may have renewed its lease until now.
+	b.wait(9 * micros.Second)
+	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 3, Seq: 9, Token: token,
+		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: 99, State: wire.TaskRunning}}})
+	b.wait(lease)
+	b.tick()
+	b.up("n-2-a")
+	b.want(b.grant("run-1", "n-2-a", 1), 0)
+	b.wait(2 * micros.Second)
+	b.tick()
+	b.want(b.grant("run-1", "n-2-a", 1), 1)
+}
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -81,18 +81,18 @@
 		}
 		delete(m.direct, id)
 		mc := m.machines[id]
-		if mc == nil || !mc.up || mc.directOut || mc.addr == "" || mc.deleting {
+		if mc == nil || mc.directOut || mc.addr == "" || mc.deleting {
 			continue
 		}
-		if mc.deaf != 0 || mc.cutOff() {
+		if m.toProbe(mc) {
 			if m.probeDue(now, mc) {
 				mc.probed, mc.directOut = now, true
 				m.directs++
-				out = append(out, Direct{Machine: id, Addr: mc.addr, Body: wire.Direct{Token: m.cfg.Token, Session: mc.session, Commands: []wire.Command{}}})
+				out = append(out, Direct{Machine: id, Addr: mc.addr, Body: wire.Direct{Token: m.cfg.Token, Session: mc.knownSession(), Commands: []wire.Command{}}})
 			}
 			continue
 		}
-		if !mc.confirmed || !mc.directOK || len(mc.attempts) == 0 {
+		if !mc.up || !mc.confirmed || !mc.directOK || len(mc.attempts) == 0 {
 			continue
 		}
 		d := Direct{Machine: id, Addr: mc.addr, Body: wire.Direct{Token: m.cfg.Token, Session: mc.session}}
@@ -122,15 +122,36 @@
 // cutOff tells whether a machine is heard by way of another controller only.
 func (mc *machine) cutOff() bool { return mc.via != "" && !mc.directOK }
 
-// probeDue tells whether it is time to ask a machine whether it hears us. One that does
-// not have our token yet most likely shows it with its next report.
+// toProbe tells whether a machine is to be asked by an empty direct order: one that may not
+// hear us, and one that runs but has not reported to this leader. Its worker may be with an
+// earlier one that is cut off from all but its workers, and hears of us only so.
+func (m *Manager) toProbe(mc *machine) bool {
+	return mc.deaf != 0 || mc.cutOff() || !mc.up && mc.state == wire.MachineRunning
+}
+
+// knownSession is the session that a machine is in as far as is known. If it is another,
+// the answer tells.
+func (mc *machine) knownSession() uint64 {
+	s := max(1, mc.session)
+	for _, a := range mc.attempts {
+		s = max(s, a.session)
+	}
+	return s
+}
+
+// probeDue tells whether it is time to ask a machine whether it hears us. One that has
+// reported and does not have our token yet most likely shows it with its next report; most
+// of a new leader's machines report within the first seconds.
 func (m *Manager) probeDue(now micros.Time, mc *machine) bool {
-	const pause, cutPause = 3 * micros.Second, 15 * micros.Second
-	if mc.cutOff() {
-		return mc.probed == 0 || now.Sub(mc.probed) >= cutPause
+	const pause, longPause, settle = 3 * micros.Second, 15 * micros.Second, 2 * micros.Second
+	if !mc.up && now.Sub(m.born) < settle {
+		return false
+	}
+	if !mc.up || mc.cutOff() {
+		return mc.probed == 0 || now.Sub(mc.probed) >= longPause
 	}
 	patience := micros.Span(0)
-	if !mc.confirmed {
+	if !mc.confirmed && mc.lastReport != 0 {
 		patience = m.cfg.Report.Scale(1.25) + micros.Second
 	}
 	return now.Sub(mc.deaf) >= patience && (mc.probed == 0 || now.Sub(mc.probed) >= pause)
@@ -167,6 +188,9 @@
 		return true
 	}
 	if r.Machine == d.Machine {
+		if !mc.up {
+			mc.probed = 0 // if that was the wrong session, the right one is known now
+		}
 		m.take(now, r, false)
 		if executed && mc.session == d.Body.Session {
 			m.heard(mc)
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -78,6 +78,9 @@
 	switch heard := r.Token == m.cfg.Token; {
 	case heard && !mc.confirmed:
 		m.heard(mc)
+		// Until it had our token, another's answer may have renewed its lease after the last
+		// report that we know of.
+		mc.lastReport = now
 	case !heard:
 		m.unheard(now, mc)
 	}
