A worker sent back to the leader in vain is passed on for again

Found by reading: where the leader's orders reach a machine and its reports don't reach the leader, a follower would have sent it back at each report until its lease ran out.

--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -732,7 +732,7 @@
 	b.want(len(d[0].Body.Commands), 0)
 	b.m.DirectDone(b.now, d[0], false, nil)
 	b.want(len(b.m.Directs(b.now, true)), 0)
-	b.want(b.m.Reached("n-1-a"), false)
+	b.want(b.m.SendBack(b.now, "n-1-a"), false)
 	// The answer did not come through as far as the report shows, but the worker has stayed
 	// where it got it from.
 	b.want(passed(), fmt.Sprintf("launch run-1/0 %d", first))
@@ -745,7 +745,10 @@
 	b.want(len(d), 1)
 	b.seq++
 	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token})
-	b.want(b.m.Reached("n-1-a"), true)
+	b.want(b.m.SendBack(b.now, "n-1-a"), true)
+	// It is back with the other controller: our orders reach it, its reports don't reach us.
+	passed()
+	b.want(b.m.SendBack(b.now, "n-1-a"), false)
 }
 
 // A late copy of a write may make a progress record anew after its job is over. It counts
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -29,7 +29,10 @@
 	if stays {
 		m.heard(mc)
 	}
-	if via != "" && mc.via == "" {
+	switch {
+	case via == "" && mc.via != "":
+		mc.directOK = true
+	case via != "" && mc.via == "":
 		// It has left us for lack of an answer, so direct orders may not reach it either.
 		// It is asked at once: it may only have been cut off itself, and be back.
 		mc.directOK, mc.probed = false, 0
@@ -40,10 +43,16 @@
 	return &wire.ReportAnswer{Token: m.cfg.Token, Commands: m.orders(now, mc, r, launch)}, false
 }
 
-// Reached tells whether a machine whose reports are passed on hears our own orders again.
-func (m *Manager) Reached(id string) bool {
+// SendBack tells whether a machine whose reports are passed on has heard an order of our own
+// since, and so may be sent back to us. If it comes by the other way again all the same,
+// its reports don't reach us: they are passed on until another order has come through.
+func (m *Manager) SendBack(now micros.Time, id string) bool {
 	mc := m.machines[id]
-	return mc != nil && mc.via != "" && mc.directOK && mc.deaf == 0
+	if mc == nil || mc.via == "" || !mc.directOK || mc.deaf != 0 {
+		return false
+	}
+	mc.directOK, mc.probed = false, now
+	return true
 }
 
 // take books a report, or the worker's answer to a direct order; nil if it is late or
--- a/term.go
+++ b/term.go
@@ -219,7 +219,7 @@
 // relayed serves a report that another controller passes on.
 func (t *term) relayed(ctx context.Context, r peer.Relay) *peer.RelayAnswer {
 	reached := make(chan bool, 1)
-	if t.begun(ctx) && t.call(ctx, func(micros.Time) { reached <- t.mgr.Reached(r.Report.Machine) }) && <-reached {
+	if t.begun(ctx) && t.call(ctx, func(now micros.Time) { reached <- t.mgr.SendBack(now, r.Report.Machine) }) && <-reached {
 		return &peer.RelayAnswer{Reached: true}
 	}
 	return &peer.RelayAnswer{Answer: t.report(ctx, r.Report, r.Member)}
