--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		kept++
-		mine[mc.keep] += Whole(mc.spec).Holds(Need(&m.jobs[mc.keep].rec.Job), wire.MaxTasks)
+		mine[mc.keep] += mc.holds(m.jobs[mc.keep])
 	}
 	starved := m.waitingFor(now, m.cfg.Tuning.KeepAfter)
 	slices.SortStableFunc(starved, func(a, b *job) int { return cmp.Compare(a.waitSince, b.waitSince) })
@@ -46,13 +46,18 @@
 			}
 			mc.keep = j.rec.Job.ID
 			m.touchMachine(mc)
-			mine[mc.keep] += Whole(mc.spec).Holds(Need(&j.rec.Job), wire.MaxTasks)
+			mine[mc.keep] += mc.holds(j)
 			kept++
 			m.note("room is kept for a job that has waited long", "job", mc.keep, "machine", mc.id)
 		}
 	}
 }
 
+// holds is how many tasks of a job the machine takes when it is empty.
+func (mc *machine) holds(j *job) int {
+	return Whole(mc.spec).Holds(Need(&j.rec.Job), wire.MaxTasks)
+}
+
 // soonest is the machine on which a task of the job should find room first, by the
 // owners' estimates, when nothing else is placed there.
 func (m *Manager) soonest(now micros.Time, j *job) *machine {
--- a/node.go
+++ b/node.go
@@ -200,7 +200,7 @@
 	ro := n.role.Load()
 	switch {
 	case ro.term != nil:
-		return ro.term.report(ctx, r, ""), ""
+		return ro.term.report(ctx, r, "").Answer, ""
 	case ro.following != nil:
 		if a := ro.following.report(ctx, r); a != nil {
 			return a, ""
@@ -215,7 +215,8 @@
 	if t == nil || t.token != r.Token || r.Report == nil {
 		return nil, peer.ErrNotLeader
 	}
-	return t.relayed(ctx, r), nil
+	ans := t.report(ctx, r.Report, r.Member)
+	return &ans, nil
 }
 
 // Subscribe gives what changes in the views of a term.
--- a/term.go
+++ b/term.go
@@ -187,42 +187,35 @@
 func (t *term) mayPromise(now micros.Time) bool { return int64(now) < t.promise.Load() }
 
 // report serves a worker's report; via names the controller that passes it on, if one does.
-func (t *term) report(ctx context.Context, r *wire.Report, via string) *wire.ReportAnswer {
+func (t *term) report(ctx context.Context, r *wire.Report, via string) (ans peer.RelayAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	if !t.begun(ctx) {
-		return nil
+		return ans
 	}
-	answers := make(chan *wire.ReportAnswer, 1)
+	answers := make(chan peer.RelayAnswer, 1)
 	t.post(ctx, func(now micros.Time) {
-		// A leader that can't reach the state service goes on renewing leases for a
-		// bounded time, but launches nothing.
-		if int64(now) >= t.answer.Load() {
-			answers <- nil
-			return
-		}
-		a, deposed := t.mgr.Report(now, r, via, t.mayPromise(now))
-		if deposed {
-			t.n.start(func() { t.depose("a worker has seen a higher token") })
+		var ans peer.RelayAnswer
+		switch {
+		case via != "" && t.mgr.SendBack(now, r.Machine):
+			ans.Reached = true
+		case int64(now) < t.answer.Load():
+			// A leader that can't reach the state service goes on renewing leases for a
+			// bounded time, but launches nothing.
+			a, deposed := t.mgr.Report(now, r, via, t.mayPromise(now))
+			if deposed {
+				t.n.start(func() { t.depose("a worker has seen a higher token") })
+			}
+			ans.Answer = a
 		}
-		answers <- a
+		answers <- ans
 	})
 	select {
-	case a := <-answers:
-		return a
+	case ans = <-answers:
 	case <-ctx.Done():
 	case <-t.done:
 	}
-	return nil
-}
-
-// relayed serves a report that another controller passes on.
-func (t *term) relayed(ctx context.Context, r peer.Relay) *peer.RelayAnswer {
-	reached := make(chan bool, 1)
-	if t.begun(ctx) && t.call(ctx, func(now micros.Time) { reached <- t.mgr.SendBack(now, r.Report.Machine) }) && <-reached {
-		return &peer.RelayAnswer{Reached: true}
-	}
-	return &peer.RelayAnswer{Answer: t.report(ctx, r.Report, r.Member)}
+	return ans
 }
 
 // subscribe enters a follower. What it gets waits for a view newer than the one of the
