Limits of the state service that will come, and lower ones than the settings say

Written within the smaller of both from the first start on. Records of progress are bounded by the bytes of their placements as encoded; a job that is over keeps no description; what is refused as too large is split or made smaller, and no longer ends the term. Resubmission of a job whose description is too long by now is answered 200.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -124,20 +124,14 @@
 		return
 	}
 	if why := a.impossible(job, types); why != "" {
-		// A job that was accepted once is never refused afterwards.
-		if st, err := a.read(ctx, job.ID); err != nil {
-			later(w, "the state service does not answer")
-		} else if st != "" {
-			a.tell(w, http.StatusOK, job.ID, st)
-		} else {
-			refuse(w, http.StatusUnprocessableEntity, why)
-		}
+		a.refuseNew(ctx, w, job.ID, http.StatusUnprocessableEntity, why)
 		return
 	}
-	rec := state.OpenRecord{Job: *job, Accepted: a.wall(), Chunk: state.ChunkSize(a.set.Deployment.State.ValueKB)}
+	limit := a.set.Deployment.State.Within().ValueKB
+	rec := state.OpenRecord{Job: *job, Accepted: a.wall(), Chunk: state.ChunkSize(job.Kind, limit)}
 	open, err := json.Marshal(rec)
-	if err == nil && float64(len(open)) > a.set.Deployment.State.ValueKB*1024 {
-		refuse(w, http.StatusBadRequest, "the description is too long")
+	if err == nil && float64(len(open)) > limit*1024 {
+		a.refuseNew(ctx, w, job.ID, http.StatusBadRequest, tooLong)
 		return
 	}
 	status, err2 := json.Marshal(state.StatusRecord{Status: wire.JobPending})
@@ -155,9 +149,15 @@
 		a.tell(w, http.StatusCreated, job.ID, wire.JobPending)
 		return
 	}
-	if errors.Is(err, state.ErrUnavailable) {
+	switch {
+	case errors.Is(err, state.ErrUnavailable):
 		later(w, "the state service does not serve now")
 		return
+	case errors.Is(err, state.ErrRefused):
+		// The limit has been lowered to less than the settings say.
+		a.log.Error("the state service refuses a description", "key", state.OpenKey(job.ID), "bytes", len(open), "err", err)
+		a.refuseNew(ctx, w, job.ID, http.StatusBadRequest, tooLong)
+		return
 	}
 	// Known already, or the outcome is unknown: what is stored decides.
 	st, err := a.read(ctx, job.ID)
@@ -171,6 +171,21 @@
 	}
 }
 
+const tooLong = "the description is too long"
+
+// refuseNew refuses a submission for good. A job that was accepted once is never refused
+// afterwards, whatever limits have changed since.
+func (a *API) refuseNew(ctx context.Context, w http.ResponseWriter, id string, code int, why string) {
+	switch st, err := a.read(ctx, id); {
+	case err != nil:
+		later(w, "the state service does not answer")
+	case st != "":
+		a.tell(w, http.StatusOK, id, st)
+	default:
+		refuse(w, code, why)
+	}
+}
+
 // impossible says why a job can never run, or nothing.
 func (a *API) impossible(j *wire.Job, types []wire.MachineType) string {
 	var team *settings.Team
@@ -286,8 +301,7 @@
 	if err := json.Unmarshal(it.Value, &rec); err != nil {
 		return fmt.Errorf("record of %s: %w", id, err)
 	}
-	rec.Over = wire.JobCancelled
-	open, err := json.Marshal(rec)
+	open, err := json.Marshal(rec.Closed(wire.JobCancelled))
 	status, err2 := json.Marshal(state.StatusRecord{Status: wire.JobCancelled})
 	if err := errors.Join(err, err2); err != nil {
 		return fmt.Errorf("record of %s: %w", id, err)
--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -82,15 +82,12 @@
 	if m.next+1 >= 1<<attemptBits {
 		return nil
 	}
-	for j.cursor < len(j.tasks) && j.tasks[j.cursor] != taskWaiting {
-		j.cursor++
-	}
-	if j.cursor == len(j.tasks) {
+	a := &attempt{job: j, id: m.cfg.Token<<attemptBits | m.next + 1, machine: mc, session: mc.session,
+		ours: true, kept: mc.keep == ask.Job, leaseEnd: now.Add(ask.Lease)}
+	if !m.nextTask(a) {
 		return nil
 	}
 	m.next++
-	a := &attempt{job: j, task: j.cursor, id: m.cfg.Token<<attemptBits | m.next, machine: mc, session: mc.session,
-		ours: true, kept: mc.keep == ask.Job, leaseEnd: now.Add(ask.Lease)}
 	m.place(a)
 	m.touch(now, j, a.task, true)
 	// Room was kept for the job until the machine had as many of its tasks as it takes.
@@ -100,6 +97,26 @@
 	return a
 }
 
+// nextTask gives an attempt the first of its job's waiting tasks whose record has room for
+// its placement.
+func (m *Manager) nextTask(a *attempt) bool {
+	j := a.job
+	for j.cursor < len(j.tasks) && j.tasks[j.cursor] != taskWaiting {
+		j.cursor++
+	}
+	for t := j.cursor; t < len(j.tasks); t++ {
+		if j.tasks[t] != taskWaiting {
+			continue
+		}
+		a.task = t
+		if m.limits.takes(j, t, placementSize(a.placement())) {
+			return true
+		}
+		t += j.rec.Chunk - t%j.rec.Chunk - 1 // on to the next record
+	}
+	return false
+}
+
 // Exhausted says that the term has no attempt numbers left.
 func (m *Manager) Exhausted() bool { return m.next+1 >= 1<<attemptBits }
 
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -36,8 +36,8 @@
 	Tuning  settings.Tuning
 	// Directs bounds the direct orders that are out at once: each takes a connection.
 	Directs int
-	TxnOps  int
-	ValueKB float64
+	// State holds the limits of the state service.
+	State settings.State
 }
 
 type job struct {
@@ -64,6 +64,7 @@
 	runs      int         // tasks done at a usual speed
 	ran       micros.Span // their run times together
 	notBefore micros.Time
+	holdUntil micros.Time // its records are let alone until then
 	// waitSince is since when tasks have waited without one of them being placed.
 	waitSince micros.Time
 }
@@ -82,6 +83,7 @@
 	since   micros.Time // when it became so
 	launch  bool        // a launch waits for its being written
 	out     bool
+	load    int // bytes of the placements that it has to hold
 }
 
 type attempt struct {
@@ -91,6 +93,7 @@
 	id      uint64
 	machine *machine
 	session uint64
+	bytes   int // of its placement in the record
 
 	durable bool
 	kept    bool   // placed where room had been kept for its job
@@ -179,6 +182,7 @@
 	// preemptFrom is the job with which displacement goes on.
 	preemptFrom string
 	spent       spending
+	limits      limits
 	guesses     map[string]float64 // by class: logarithm of run time over estimate
 	care        care
 	direct      map[string]bool // machines for which there may be direct orders
@@ -215,6 +219,7 @@
 	for _, t := range cfg.Teams {
 		m.teams[t.Name] = &team{Team: t}
 	}
+	m.limits = newLimits(cfg.State)
 	for _, it := range open {
 		var rec state.OpenRecord
 		if err := decode(it.Value, &rec); err != nil {
@@ -310,6 +315,8 @@
 	a.job.tasks[a.task] = taskActive
 	a.job.waiting--
 	a.job.active[a.task] = a
+	a.bytes = placementSize(a.placement())
+	m.chunkOf(a.job, a.task).load += a.bytes
 	a.machine.attempts[a.name] = a
 	if t := m.teams[a.job.rec.Job.Team]; t != nil {
 		t.cpus += a.job.rec.Job.CPUs
@@ -328,6 +335,7 @@
 	}
 	delete(j.active, a.task)
 	delete(a.machine.attempts, a.name)
+	m.chunkOf(j, a.task).load -= a.bytes
 	if t := m.teams[j.rec.Job.Team]; t != nil {
 		t.cpus -= j.rec.Job.CPUs
 		t.gpus -= j.rec.Job.GPUs
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -31,7 +31,7 @@
 func newBench(t *testing.T, open, chunks []wire.Item) *bench {
 	m, err := New(1000, Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUs: 4}}, Lease: lease,
 		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, ListLag: 3 * micros.Second,
-		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, Directs: 2, TxnOps: 8, ValueKB: 4}, 0, open, chunks, json.Unmarshal)
+		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, Directs: 2, State: settings.State{TxnOps: 8, ValueKB: 4}}, 0, open, chunks, json.Unmarshal)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -33,11 +33,7 @@
 // touch marks the chunk of a task for writing.
 func (m *Manager) touch(now micros.Time, j *job, task int, launch bool) {
 	n := task / j.rec.Chunk
-	c := j.chunks[n]
-	if c == nil {
-		c = &chunk{}
-		j.chunks[n] = c
-	}
+	c := m.chunkOf(j, task)
 	c.launch = c.launch || launch
 	if !c.dirty {
 		c.dirty = true
@@ -46,6 +42,17 @@
 	}
 }
 
+// chunkOf is the progress record of a task.
+func (m *Manager) chunkOf(j *job, task int) *chunk {
+	n := task / j.rec.Chunk
+	c := j.chunks[n]
+	if c == nil {
+		c = &chunk{}
+		j.chunks[n] = c
+	}
+	return c
+}
+
 // Change is a durable change with the version that its key must have. Value nil
 // deletes the key.
 type Change struct {
@@ -70,22 +77,26 @@
 	b := &batch{id: m.writeNo + 1, cleaned: map[string][]int{}}
 	w := &Write{ID: b.id}
 	mark := strconv.FormatUint(m.cfg.Token, 36) + "." + strconv.FormatUint(b.id, 36)
-	maxOps := min(m.cfg.TxnOps, max(2, int(50/m.cfg.ValueKB)))
+	maxOps := m.limits.ops
 
 	// A job that has just been completed is final in one transaction, together with
 	// its records where they fit: its tasks need no record of their own then.
-	for len(m.finals) > 0 && len(w.Changes)+2 <= maxOps {
-		id := m.finals[0]
+	for i := 0; i < len(m.finals) && len(w.Changes)+2 <= maxOps; {
+		id := m.finals[i]
 		j := m.jobs[id]
 		if j == nil || j.over != "" || j.done < len(j.tasks) {
-			m.finals = m.finals[1:]
+			m.finals = slices.Delete(m.finals, i, i+1)
+			continue
+		}
+		if now < j.holdUntil {
+			i++
 			continue
 		}
 		full := len(j.chunks)+2 <= maxOps && len(j.active) == 0
 		if full && len(w.Changes)+2+len(j.chunks) > maxOps {
 			break
 		}
-		m.finals = m.finals[1:]
+		m.finals = slices.Delete(m.finals, i, i+1)
 		j.finalOut = true
 		b.finals = append(b.finals, id)
 		w.Changes = append(w.Changes, Change{Key: state.StatusKey(id), Version: j.version, Value: state.StatusRecord{Status: wire.JobDone}})
@@ -98,17 +109,19 @@
 			}
 			b.closed = append(b.closed, id)
 		} else {
-			rec := j.rec
-			rec.Over = wire.JobDone
-			w.Changes = append(w.Changes, Change{Key: state.OpenKey(id), Version: j.version, Value: rec})
+			w.Changes = append(w.Changes, Change{Key: state.OpenKey(id), Version: j.version, Value: j.rec.Closed(wire.JobDone)})
 		}
 	}
 	m.writeChunks(now, b, w, maxOps, mark)
-	for len(m.cleanup) > 0 && len(w.Changes) < maxOps {
-		id := m.cleanup[0]
+	for i := 0; i < len(m.cleanup) && len(w.Changes) < maxOps; {
+		id := m.cleanup[i]
 		j := m.jobs[id]
 		if j == nil || len(j.active) > 0 {
-			m.cleanup = m.cleanup[1:]
+			m.cleanup = slices.Delete(m.cleanup, i, i+1)
+			continue
+		}
+		if now < j.holdUntil {
+			i++
 			continue
 		}
 		left := 0
@@ -131,7 +144,7 @@
 		// The open record goes last: while it stands, a new leader finds the chunks.
 		w.Changes = append(w.Changes, Change{Key: state.OpenKey(id), Version: j.version})
 		b.closed = append(b.closed, id)
-		m.cleanup = m.cleanup[1:]
+		m.cleanup = slices.Delete(m.cleanup, i, i+1)
 	}
 	n := min(len(m.orphans), maxOps-len(w.Changes))
 	w.Changes = append(w.Changes, m.orphans[:n]...)
@@ -162,7 +175,8 @@
 				continue
 			}
 			c := j.chunks[d.chunk]
-			if len(w.Changes) >= maxOps || launches != c.launch || !launches && now.Sub(c.since) < gather {
+			if len(w.Changes) >= maxOps || launches != c.launch || !launches && now.Sub(c.since) < gather || now < j.holdUntil ||
+				!m.limits.takes(j, d.chunk*j.rec.Chunk, 0) {
 				rest = append(rest, d)
 				continue
 			}
@@ -186,7 +200,7 @@
 			b.done = append(b.done, doneTask{j, t})
 		}
 		if a := j.active[t]; a != nil && j.tasks[t] == taskActive {
-			rec.Active = append(rec.Active, state.Placement{Task: t, Machine: a.machine.id, Attempt: a.id, Session: a.session})
+			rec.Active = append(rec.Active, a.placement())
 			if !a.durable {
 				b.attempts = append(b.attempts, a)
 			}
@@ -195,6 +209,15 @@
 	return Change{Key: state.ChunkKey(j.rec.Job.ID, d.chunk), Version: c.version, Value: rec, Mark: mark}
 }
 
+// jobs gives the jobs whose records the write changes.
+func (b *batch) jobs() []string {
+	out := slices.Concat(b.finals, b.closed, slices.Collect(maps.Keys(b.cleaned)))
+	for _, d := range b.chunks {
+		out = append(out, d.job)
+	}
+	return out
+}
+
 // endWrite gives what the write that is out consists of, and makes way for the next; nil
 // if it is another.
 func (m *Manager) endWrite(id uint64) *batch {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -36,12 +36,14 @@
 
 // The values that a scenario may give, with `set NAME VALUE`, and those of most.
 var usual = map[string]float64{"report_s": 2, "lease_s": 10, "cancel_s": 30, "rps": 200, "write_rps": 60, "txn_ops": 8, "value_kb": 4,
-	"cloud_rps": 10, "mem_mb": 4000, "max_connections": 500}
+	"cloud_rps": 10, "mem_mb": 4000, "max_connections": 500,
+	// Limits to come, where they are given.
+	"next_value_kb": 0, "next_txn_ops": 0, "next_write_rps": 0, "gang_wait_s": 20, "gang_peer_s": 5}
 
 // Scenario is a parsed file.
 type Scenario struct {
-	world, steps []string
-	options      []byte
+	world, steps, records []string
+	options               []byte
 }
 
 // Parse reads a scenario.
@@ -55,6 +57,8 @@
 			s.steps = lines(f.Data)
 		case "options":
 			s.options = f.Data
+		case "records":
+			s.records = lines(f.Data)
 		default:
 			return nil, fmt.Errorf("unknown section %q", f.Name)
 		}
@@ -116,7 +120,7 @@
 			return fmt.Errorf("world: %q: %w", l, err)
 		}
 	}
-	if err := w.build(); err != nil {
+	if err := w.build(s.records); err != nil {
 		return err
 	}
 	for _, l := range s.steps {
@@ -184,7 +188,10 @@
 	return v
 }
 
-func (w *world) build() error {
+func (w *world) build(records []string) error {
+	if err := w.stored(records); err != nil {
+		return err
+	}
 	zones := map[string]bool{}
 	for _, t := range w.types {
 		w.byName[t.Name] = &t
@@ -224,6 +231,26 @@
 	return nil
 }
 
+// stored puts records into the state service that an earlier service has left there. Those
+// with the same number in front were written in one transaction.
+func (w *world) stored(records []string) error {
+	var changes []wire.Change
+	last := ""
+	for _, l := range records { // N KEY JSON
+		f := strings.SplitN(l, " ", 3)
+		if len(f) != 3 || !json.Valid([]byte(f[2])) {
+			return fmt.Errorf("records: %q: not a number, a key and a value", l)
+		}
+		if f[0] != last {
+			w.state.Put(changes)
+			changes, last = nil, f[0]
+		}
+		changes = append(changes, wire.Change{Put: f[1], Value: json.RawMessage(f[2])})
+	}
+	w.state.Put(changes)
+	return nil
+}
+
 func (w *world) serve(ip, port string, h http.Handler) error {
 	l, err := w.net.Host(ip).Listen(ip + ":" + port)
 	if err != nil {
@@ -276,8 +303,19 @@
 		fmt.Fprintf(&b, "[[deployment.teams]]\nname = %q\ncpus_max = %f\n", t.Name, t.CPUsMax)
 	}
 	v := w.values
-	fmt.Fprintf(&b, "[deployment.workers]\nreport_s = %f\nlease_s = %f\ncancel_s = %f\n", v["report_s"], v["lease_s"], v["cancel_s"])
+	fmt.Fprintf(&b, "[deployment.workers]\nreport_s = %f\nlease_s = %f\ncancel_s = %f\ngang_wait_s = %f\ngang_peer_s = %f\n",
+		v["report_s"], v["lease_s"], v["cancel_s"], v["gang_wait_s"], v["gang_peer_s"])
 	fmt.Fprintf(&b, "[deployment.state]\nrps = %f\nwrite_rps = %f\nvalue_kb = %f\ntxn_ops = %d\n", v["rps"], v["write_rps"], v["value_kb"], int(v["txn_ops"]))
+	b.WriteString("[deployment.state.next]\n")
+	for _, name := range []string{"value_kb", "txn_ops", "write_rps"} {
+		if n := v["next_"+name]; n > 0 {
+			format := "%s = %f\n"
+			if name == "txn_ops" {
+				format = "%s = %.0f\n"
+			}
+			fmt.Fprintf(&b, format, name, n)
+		}
+	}
 	fmt.Fprintf(&b, "[deployment.cloud]\nrps = %f\nlist_lag_s = %d.0\n", v["cloud_rps"], listLagS)
 	fmt.Fprintf(&b, "[deployment.quota]\ncore_share = 1.0\nmem_mb = %f\nmax_connections = %d\n", v["mem_mb"], int(v["max_connections"]))
 	return b.String()
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -128,6 +128,11 @@
 			j.Spot = false
 		case "fails":
 			fails = true
+		case "long": // names that many bytes of machine types that there are not
+			j.Types = w.typeNames()
+			for n := int(number(v)); n > 0; n -= 200 {
+				j.Types = append(j.Types, strings.Repeat("x", min(n, 190)))
+			}
 		default:
 			return fmt.Errorf("unknown field %q", k)
 		}
@@ -141,6 +146,14 @@
 	return compare(code, st.Status, want)
 }
 
+func (w *world) typeNames() []string {
+	var names []string
+	for _, t := range w.types {
+		names = append(names, t.Name)
+	}
+	return names
+}
+
 func compare(code int, status, want string) error {
 	if want != "" && want != fmt.Sprint(code) && want != status {
 		return fmt.Errorf("answer %d %q, want %s", code, status, want)
@@ -234,6 +247,11 @@
 		got = fmt.Sprint(w.cloud.Hired())
 	case "records": // PREFIX N
 		got = fmt.Sprint(w.state.Count(f[1]))
+	case "refusals": // most N
+		if n := w.state.Refusals(); n <= int(number(want)) {
+			return nil
+		}
+		got = fmt.Sprint(w.state.Refusals())
 	case "healthy": // MEMBER yes|no
 		code, _, err := w.ask(http.MethodGet, w.member(f[1]), wire.PathHealth, nil)
 		if err != nil {
@@ -326,6 +344,8 @@
 		w.repeats["state"].Repeat(seconds(number(f[1])))
 	case "lose": // PREFIX
 		w.state.LoseAnswer(f[1])
+	case "limits": // BYTES OPS WRITES_PER_S
+		w.state.Limit(standin.StateLimits{ValueBytes: int(number(f[1])), Ops: int(number(f[2])), WriteRPS: number(f[3])})
 	default:
 		return fmt.Errorf("unknown word")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,10 @@
 	ReportS float64 `toml:"report_s"`
 	LeaseS  float64 `toml:"lease_s"`
 	CancelS float64 `toml:"cancel_s"`
+	// GangWaitS is how long a task waits for the others of its gang, GangPeerS how soon
+	// they notice that it is gone. Absent: they follow from the lease.
+	GangWaitS *float64 `toml:"gang_wait_s"`
+	GangPeerS *float64 `toml:"gang_peer_s"`
 }
 
 // State holds the state service's limits.
@@ -53,6 +57,36 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next holds the limits that will come at a moment that nobody announces; what is
+	// absent stays.
+	Next NextState `toml:"next"`
+}
+
+// NextState holds limits of the state service that will come.
+type NextState struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Within gives the limits that hold now and will hold: the smaller of both. Nobody tells
+// when they change, and what is written within them suits either time.
+func (s State) Within() State {
+	if n := s.Next.RPS; n != nil {
+		s.RPS = min(s.RPS, *n)
+	}
+	if n := s.Next.WriteRPS; n != nil {
+		s.WriteRPS = min(s.WriteRPS, *n)
+	}
+	if n := s.Next.ValueKB; n != nil {
+		s.ValueKB = min(s.ValueKB, *n)
+	}
+	if n := s.Next.TxnOps; n != nil {
+		s.TxnOps = min(s.TxnOps, *n)
+	}
+	s.Next = NextState{}
+	return s
 }
 
 // Cloud holds the cloud's limits.
@@ -205,6 +239,18 @@
 		{"quota.core_share", d.Limits.CoreShare}, {"quota.mem_mb", d.Limits.MemoryMB},
 		{"quota.max_connections", float64(d.Limits.MaxConnections)},
 	}
+	optional := []struct {
+		name string
+		v    *float64
+	}{
+		{"workers.gang_wait_s", d.Workers.GangWaitS}, {"workers.gang_peer_s", d.Workers.GangPeerS},
+		{"state.next.rps", d.State.Next.RPS}, {"state.next.write_rps", d.State.Next.WriteRPS}, {"state.next.value_kb", d.State.Next.ValueKB},
+	}
+	for _, o := range optional {
+		if o.v != nil && !(*o.v > 0) {
+			return fmt.Errorf("deployment.%s must be above 0", o.name)
+		}
+	}
 	for _, p := range positive {
 		if !(p.v > 0) {
 			return fmt.Errorf("deployment.%s must be above 0", p.name)
@@ -216,11 +262,16 @@
 	if d.Limits.MaxConnections < leastConnections {
 		return fmt.Errorf("deployment.quota.max_connections must be at least %d: none would be left for workers", leastConnections)
 	}
-	if d.State.TxnOps < 2 {
-		return errors.New("deployment.state.txn_ops must be at least 2")
-	}
-	if d.State.ValueKB < 1 {
-		return errors.New("deployment.state.value_kb must be at least 1")
+	for _, l := range []struct {
+		name string
+		State
+	}{{"state", d.State}, {"state.next", d.State.Within()}} {
+		if l.TxnOps < 2 {
+			return fmt.Errorf("deployment.%s.txn_ops must be at least 2: a job's two records change together", l.name)
+		}
+		if l.ValueKB < 1 {
+			return fmt.Errorf("deployment.%s.value_kb must be at least 1: a description and a record of progress need as much", l.name)
+		}
 	}
 	if d.Cloud.ListLagS < 0 {
 		return errors.New("deployment.cloud.list_lag_s must not be negative")
@@ -231,9 +282,30 @@
 	if d.Workers.CancelS <= d.Workers.LeaseS {
 		return errors.New("deployment.workers.cancel_s must be longer than lease_s")
 	}
+	if g := d.Workers.GangWaitS; g != nil && *g < d.Workers.ReportS {
+		return errors.New("deployment.workers.gang_wait_s must not be shorter than report_s: a gang would give up before anything is known of it")
+	}
 	return nil
 }
 
+// GangWait is how long a task waits for the others of its gang.
+func (s *Settings) GangWait() micros.Span {
+	return s.gangTime(s.Deployment.Workers.GangWaitS, 3)
+}
+
+// GangPeer is how soon the tasks of a gang notice that one of them is gone, and how long one
+// that has saved waits for the others.
+func (s *Settings) GangPeer() micros.Span {
+	return s.gangTime(s.Deployment.Workers.GangPeerS, 0.5)
+}
+
+func (s *Settings) gangTime(given *float64, leases float64) micros.Span {
+	if given != nil {
+		return micros.Seconds(*given)
+	}
+	return s.Lease().Scale(leases)
+}
+
 // What a controller needs before it serves anybody, and for each machine.
 const (
 	leastMemoryMB, memoryMBPerMachine = 16, 0.07
@@ -250,6 +322,10 @@
 	if s.Tuning.MaxMachines > l.MaxConnections*3/4 {
 		out = append(out, fmt.Sprintf("max_machines is %d: more than three quarters of quota.max_connections leaves few for users", s.Tuning.MaxMachines))
 	}
+	// A stop may have to wait for a report, and a direct order that gets no answer takes 2 s.
+	if peer, need := s.GangPeer(), micros.Seconds(1.25*s.Deployment.Workers.ReportS)+micros.Second; peer < need {
+		out = append(out, fmt.Sprintf("workers.gang_peer_s is %g, less than the longest time between two reports and a second (%g): a gang with a machine that direct orders don't reach can't save", peer.Seconds(), need.Seconds()))
+	}
 	return out
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -63,6 +63,11 @@
 		{`mem_mb = 200.0`, `mem_mb = 8.0`, "the program itself"},
 		{`name = "red"`, `name = ""`, "teams"},
 		{`txn_ops = 8`, `txn_ops = 1`, "txn_ops"},
+		{`txn_ops = 8`, "txn_ops = 8\n[deployment.state.next]\ntxn_ops = 1", "state.next.txn_ops"},
+		{`txn_ops = 8`, "txn_ops = 8\n[deployment.state.next]\nvalue_kb = 0.5", "state.next.value_kb"},
+		{`txn_ops = 8`, "txn_ops = 8\n[deployment.state.next]\nwrite_rps = 0.0", "state.next.write_rps"},
+		{`cancel_s = 30.0`, "cancel_s = 30.0\ngang_wait_s = 1.0", "gang_wait_s"},
+		{`cancel_s = 30.0`, "cancel_s = 30.0\ngang_peer_s = -1.0", "gang_peer_s"},
 		{`nodes = 2`, `nodes = `, "line 14"},
 	}
 	for _, b := range bad {
@@ -86,6 +91,7 @@
 		{"", "", "", ""},
 		{`mem_mb = 200.0`, `mem_mb = 40.0`, "", "memory"},
 		{"", "", "max_machines: 450", "few for users"},
+		{`cancel_s = 30.0`, "cancel_s = 30.0\ngang_peer_s = 3.0", "", "gang_peer_s"},
 	} {
 		s, err := Parse([]byte(strings.Replace(sound, c.old, c.new, 1)), []byte(c.options))
 		if err != nil {
@@ -96,3 +102,18 @@
 		}
 	}
 }
+
+// Limits that will come bind from the first start on, and only where they are lower.
+func TestLimitsToCome(t *testing.T) {
+	text := strings.Replace(sound, "txn_ops = 8", "txn_ops = 8\n[deployment.state.next]\nvalue_kb = 2.0\nwrite_rps = 90.0\ntxn_ops = 4", 1)
+	s, err := Parse([]byte(text), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Deployment.State.Within(), (State{RPS: 200, WriteRPS: 50, ValueKB: 2, TxnOps: 4}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if s, err = Parse([]byte(sound), nil); err != nil || s.Deployment.State.Within() != s.Deployment.State {
+		t.Errorf("without limits to come: %+v, %v", s, err)
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -29,6 +29,16 @@
 	lateFor  time.Duration // the next transaction that changes a key with latePrefix
 	late     string        // is applied this much later, and its answer is lost
 	lost     string        // the next such transaction is applied, its answer lost
+	limits   StateLimits
+	tokens   float64 // changes that may be made at once
+	filled   time.Time
+	refusals int
+}
+
+// StateLimits bounds changes; 0: not at all.
+type StateLimits struct {
+	ValueBytes, Ops int
+	WriteRPS        float64
 }
 
 // NewState makes an empty service.
@@ -76,6 +86,47 @@
 	s.lost = prefix
 }
 
+// Limit sets the limits. What is stored stays as it is.
+func (s *State) Limit(l StateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits, s.tokens, s.filled = l, l.WriteRPS, time.Now()
+}
+
+// Refusals gives the number of transactions refused because they were too large.
+func (s *State) Refusals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusals
+}
+
+// Put stores records as a process that is no more has left them, in one transaction.
+func (s *State) Put(changes []wire.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(wire.Txn{Then: changes})
+}
+
+// beyond gives the status by which a transaction beyond the limits is refused, or 0.
+func (s *State) beyond(t wire.Txn) int {
+	l := s.limits
+	large := slices.ContainsFunc(t.Then, func(c wire.Change) bool { return l.ValueBytes > 0 && len(c.Value) > l.ValueBytes })
+	if large || l.Ops > 0 && (len(t.Then) > l.Ops || len(t.If) > 4*l.Ops) {
+		s.refusals++
+		return http.StatusBadRequest
+	}
+	if l.WriteRPS > 0 {
+		now := time.Now()
+		s.tokens = min(l.WriteRPS, s.tokens+l.WriteRPS*now.Sub(s.filled).Seconds())
+		s.filled = now
+		if s.tokens < float64(len(t.Then)) {
+			return http.StatusTooManyRequests
+		}
+		s.tokens -= float64(len(t.Then))
+	}
+	return 0
+}
+
 // Count gives the number of keys with a prefix.
 func (s *State) Count(prefix string) int {
 	s.mu.Lock()
@@ -187,6 +238,10 @@
 		})
 		panic(http.ErrAbortHandler) // the answer is lost
 	}
+	if code := s.beyond(t); code != 0 {
+		reply(w, code, wire.Error{Error: "beyond the limits"})
+		return
+	}
 	code, body := s.apply(t)
 	if touches(s.lost) {
 		s.lost = ""
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"encoding/json"
 	"strconv"
 	"strings"
 
@@ -76,6 +77,17 @@
 	Over     string   `json:"over,omitempty"`
 }
 
+// Closed is the record of a job that is over: what must be known until its last task is
+// gone, and no more. The description may have been kept under a higher limit than there is
+// now, and must not have to be written at that size again.
+func (r OpenRecord) Closed(status string) OpenRecord {
+	j := r.Job
+	r.Job = wire.Job{ID: j.ID, Team: j.Team, Kind: j.Kind, Urgency: j.Urgency, Tasks: j.Tasks,
+		CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, OneZone: j.OneZone, Spread: j.Spread}
+	r.Over = status
+	return r
+}
+
 // ChunkRecord is the progress of a chunk of tasks.
 type ChunkRecord struct {
 	Done   string      `json:"d,omitempty"` // bitmap in hexadecimal
@@ -92,12 +104,34 @@
 	Session uint64 `json:"s"`
 }
 
-// ChunkSize gives how many tasks' placements surely fit into a value.
-func ChunkSize(valueKB float64) int {
+// Size is how many bytes the placement takes in its record.
+func (p Placement) Size() (int, error) {
+	data, err := json.Marshal(p)
+	return len(data) + len(","), err
+}
+
+// ChunkOverhead is how many bytes a progress record of so many tasks takes, at the most,
+// beside its placements.
+func ChunkOverhead(tasks int) int {
+	const frame, mark = len(`{"d":"","a":[],"w":""}`), 2*13 + len(".") // two numbers to the base of 36
+	return frame + mark + 2*((tasks+7)/8)
+}
+
+// ChunkSize gives how many of a job's tasks share a progress record, so that their placements
+// surely fit into a value. Those of a gang exist all at once or not at all: it could never
+// start if the limit fell below what they need. So their records fit the lowest limit there
+// may be.
+func ChunkSize(kind string, valueKB float64) int {
 	const bytesPerTask = 80
+	if kind == wire.KindGang {
+		valueKB = LeastValueKB
+	}
 	return min(256, max(4, int(valueKB*1024-200)/bytesPerTask))
 }
 
+// LeastValueKB is the lowest limit of a value, in KiB, with which the service can do.
+const LeastValueKB = 1
+
 // EncodeDone makes a bitmap of done tasks.
 func EncodeDone(n int, done func(i int) bool) string {
 	bits := make([]byte, (n+7)/8)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -40,8 +40,9 @@
 	writes *rate.Limiter
 }
 
-// New makes a client. It starts no goroutine of its own.
-func New(dial call.Dialer, addr string, rps, writeRPS float64) *Client {
+// New makes a client, which changes nothing before SetWriteShare has said how much it may.
+// It starts no goroutine of its own.
+func New(dial call.Dialer, addr string, rps float64) *Client {
 	transport := func(conns int) *http.Transport {
 		return &http.Transport{DialContext: dial, MaxConnsPerHost: conns,
 			MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true}
@@ -51,16 +52,20 @@
 		http:   &http.Client{Transport: transport(16)},
 		watch:  &http.Client{Transport: transport(4)},
 		reqs:   rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
-		writes: rate.NewLimiter(rate.Limit(writeRPS), max(8, int(writeRPS))),
+		writes: rate.NewLimiter(0, 0),
 	}
 }
 
 // SetWriteShare changes how many changes a second this controller may make.
 func (c *Client) SetWriteShare(writeRPS float64) {
 	c.writes.SetLimit(rate.Limit(writeRPS))
-	c.writes.SetBurst(max(8, int(writeRPS)))
+	c.writes.SetBurst(burst(writeRPS))
 }
 
+// burst lets a second's worth through at once, and the changes of a submission in any case.
+// The service allows a second's worth, too, to all controllers together.
+func burst(writeRPS float64) int { return max(4, int(writeRPS)) }
+
 func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, in, out any) (int, error) {
 	status, data, err := call.JSON(ctx, hc, method, c.base+path, in)
 	if err != nil {
@@ -138,8 +143,13 @@
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	if n := len(t.Then); n > 0 {
-		if err := c.writes.WaitN(ctx, n); err != nil {
-			return 0, ErrUnavailable
+		// A transaction with more changes than a burst takes its place in parts.
+		for n > 0 {
+			part := min(n, c.writes.Burst())
+			if err := c.writes.WaitN(ctx, part); err != nil {
+				return 0, ErrUnavailable
+			}
+			n -= part
 		}
 	}
 	var r wire.TxnResult
--- a/node.go
+++ b/node.go
@@ -87,9 +87,10 @@
 func New(set *settings.Settings, network Network, log *slog.Logger) *Node {
 	d := &set.Deployment
 	n := &Node{set: set, net: network, log: log.With("member", set.Member), clock: micros.NewClock(), run: rand.Uint64() >> 11,
-		state:   state.New(network.Dial, set.Services.State, set.Share(d.State.RPS), set.Share(d.State.WriteRPS)),
+		state:   state.New(network.Dial, set.Services.State, set.Share(d.State.Within().RPS)),
 		cloud:   cloud.New(network.Dial, set.Services.Cloud, set.Share(d.Cloud.RPS)),
 		workers: worker.NewClient(network.Dial)}
+	n.state.SetWriteShare(n.followerWrites())
 	n.role.Store(&role{})
 	n.placer = newPlacer(n)
 	n.elector = newElector(n)
@@ -131,6 +132,17 @@
 	return nil
 }
 
+// leaderShare is the leader's part of the changes a second that the state service takes: it
+// does nearly all the writing. The others share the rest.
+const leaderShare = 0.6
+
+// followerWrites is how many changes a second this controller may make while it does not
+// lead: for submissions and cancellations.
+func (n *Node) followerWrites() float64 {
+	others := max(1, n.set.Deployment.Nodes-1, len(n.set.Peers))
+	return n.set.Deployment.State.Within().WriteRPS * (1 - leaderShare) / float64(others)
+}
+
 func (n *Node) start(f func()) {
 	n.wg.Add(1)
 	go func() {
--- a/term.go
+++ b/term.go
@@ -62,9 +62,10 @@
 	d := &n.set.Deployment
 	defer close(t.done)
 	// The leader does nearly all the writing and all the renting.
-	n.state.SetWriteShare(d.State.WriteRPS * 0.6)
+	limits := d.State.Within()
+	n.state.SetWriteShare(limits.WriteRPS * leaderShare)
 	n.cloud.SetShare(d.Cloud.RPS * 0.7)
-	defer n.state.SetWriteShare(n.set.Share(d.State.WriteRPS) / 2)
+	defer n.state.SetWriteShare(n.followerWrites())
 	defer n.cloud.SetShare(n.set.Share(d.Cloud.RPS) / 3)
 
 	from, ok := t.load(ctx)
@@ -124,7 +125,7 @@
 			now := n.clock.Now()
 			t.mgr, err = manager.New(now, manager.Config{Token: t.token, Teams: d.Teams, Lease: n.set.Lease(),
 				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS), ListLag: micros.Seconds(d.Cloud.ListLagS),
-				Tuning: n.set.Tuning, Directs: max(4, d.Limits.MaxConnections/16), TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB},
+				Tuning: n.set.Tuning, Directs: max(4, d.Limits.MaxConnections/16), State: d.State.Within()},
 				n.clock.Wall(), open, chunks, json.Unmarshal)
 			if err != nil {
 				n.log.Error("the records can't be used", "err", err)
@@ -384,6 +385,7 @@
 func (t *term) write(ctx context.Context, w *manager.Write) {
 	n := t.n
 	txn := wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: t.token}}}
+	largest := 0
 	for _, c := range w.Changes {
 		txn.If = append(txn.If, wire.Cond{Key: c.Key, Version: c.Version})
 		if c.Value == nil {
@@ -397,6 +399,7 @@
 			return
 		}
 		txn.Then = append(txn.Then, wire.Change{Put: c.Key, Value: value})
+		largest = max(largest, len(value))
 	}
 	for wait := 20 * micros.Millisecond; ; wait = min(2*wait, 500*micros.Millisecond) {
 		revision, err := n.state.Txn(ctx, txn)
@@ -415,8 +418,16 @@
 				return
 			}
 		case errors.Is(err, state.ErrRefused):
-			n.log.Error("the state service refuses a write", "err", err)
-			t.depose("the state service refuses a write")
+			// It has lower limits now than the settings say. The same would be refused for ever.
+			keys := make([]string, len(w.Changes))
+			for i, c := range w.Changes {
+				keys[i] = c.Key
+			}
+			t.post(ctx, func(now micros.Time) {
+				if !t.mgr.WriteRefused(now, w, largest) {
+					n.log.Error("the state service refuses a write that can't be made smaller", "keys", keys, "bytes", largest, "err", err)
+				}
+			})
 			return
 		}
 		n.log.Debug("a write has to be repeated", "err", err)
@@ -570,7 +581,7 @@
 
 func (t *term) storeTypes(ctx context.Context, types []wire.MachineType) bool {
 	value, err := json.Marshal(types)
-	if err != nil || float64(len(value)) > t.n.set.Deployment.State.ValueKB*1024 {
+	if err != nil || float64(len(value)) > t.n.set.Deployment.State.Within().ValueKB*1024 {
 		return true // too many to store: the cloud has to be asked
 	}
 	_, err = t.n.state.Txn(ctx, wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: t.token}},
