--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -200,14 +200,25 @@
 	if team.CPUsMax > 0 && j.CPUs > team.CPUsMax || team.GPUsMax > 0 && j.GPUs > team.GPUsMax {
 		return "a task needs more than the team's limit"
 	}
+	zones := map[string]bool{}
 	for i := range types {
 		for _, z := range types[i].Zones {
 			if j.Allows(&types[i], z, false) {
-				return ""
+				zones[z] = true
 			}
 		}
 	}
-	return "a task fits no allowed machine type"
+	switch n := float64(j.Tasks); {
+	case len(zones) == 0:
+		return "a task fits no allowed machine type"
+	case j.Kind != wire.KindGang || j.Tasks == 1:
+		return ""
+	case team.CPUsMax > 0 && n*j.CPUs > team.CPUsMax+1e-9 || team.GPUsMax > 0 && n*j.GPUs > team.GPUsMax+1e-9:
+		return "the tasks of the gang together need more than the team's limit"
+	case j.Spread && (j.OneZone || len(zones) < 2):
+		return "the tasks of the gang can't be spread over the zones that they may use"
+	}
+	return ""
 }
 
 // read gives a job's stored status as on the wire, or nothing if it is not known.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,7 +108,7 @@
 	choices int  // machine types that the job may use
 	urgent  bool // its class has an aim for how soon its tasks start
 	// expected tasks have not been asked for yet: only free room is room for them, and
-	// only spot machines are rented for them.
+	// only spot machines are rented for them where they may use those.
 	expected bool
 }
 
@@ -120,7 +120,8 @@
 	}
 	have := b.room
 	switch {
-	case w.expected:
+	case w.expected, w.Gang:
+		// A gang needs its room all at once.
 	case w.urgent:
 		have = have.Plus(b.soon, 1)
 	default:
@@ -263,6 +264,9 @@
 	})
 	var short []*want
 	for _, w := range slices.Concat(wants, f.demand.expect(v.Now, f.cfg.Tuning.Reserve)) {
+		if w.Gang && w.OneZone {
+			f.settleZone(v.Now, w, bins)
+		}
 		for _, b := range bins {
 			if w.n -= b.take(w); w.n == 0 {
 				break
@@ -275,6 +279,55 @@
 	return short
 }
 
+// settleZone chooses the zone where a gang that must be in one is to find room, or where
+// machines are rented for it: the one with most room now. One where nothing can be rented and
+// there is not enough is passed over while there are others.
+func (f *Fleet) settleZone(now micros.Time, w *want, bins []*bin) {
+	if w.Zone != nil {
+		return
+	}
+	room := map[string]int{} // by zone, for tasks of the gang
+	for _, t := range f.types {
+		for _, z := range t.Zones {
+			if f.rentable(now, &t, z, w) {
+				room[z] = 0
+			}
+		}
+	}
+	there := map[string]int{}
+	for _, b := range bins {
+		if (b.keep == "" || b.keep == w.ID) && w.Allows(b.typ, b.zone, b.spot) {
+			there[b.zone] = min(w.n, there[b.zone]+b.room.Holds(w.Space, w.n))
+		}
+	}
+	for z, n := range there {
+		if _, ok := room[z]; ok || n == w.n {
+			room[z] = n
+		}
+	}
+	best := ""
+	for _, z := range slices.Sorted(maps.Keys(room)) {
+		if best == "" || room[z] > room[best] {
+			best = z
+		}
+	}
+	if best != "" {
+		jv := *w.JobView
+		jv.Zone = &best
+		w.JobView = &jv
+	}
+}
+
+// rentable tells whether machines that take the tasks may be asked for there.
+func (f *Fleet) rentable(now micros.Time, t *wire.MachineType, zone string, w *want) bool {
+	for _, spot := range []bool{true, false} {
+		if w.Allows(t, zone, spot) && now >= f.refused[place{t.Name, zone, spot}] {
+			return true
+		}
+	}
+	return false
+}
+
 // choices is how many types of machines can take a task of the job.
 func (f *Fleet) choices(j *manager.JobView) int {
 	n := 0
@@ -354,7 +407,7 @@
 		var left []*want
 		for _, w := range rest {
 			got := 0
-			if p.spot || !w.expected {
+			if p.spot || !w.expected || !w.Spot {
 				got = b.take(w)
 			}
 			if got == 0 {
--- /dev/null
+++ b/internal/manager/gangs.go
@@ -0,0 +1,217 @@
+package manager
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"saffronbend/internal/gang"
+	"saffronbend/internal/micros"
+	"saffronbend/wire"
+)
+
+// follow carries out what a gang's life demands of its tasks.
+func (m *Manager) follow(now micros.Time, j *job, next gang.Next) {
+	switch next {
+	case gang.Launch:
+		for _, a := range j.active {
+			m.direct[a.machine.id] = true
+		}
+	case gang.End:
+		for _, a := range sorted(j.active) {
+			m.stop(now, a, 0)
+		}
+	case gang.Save:
+		for _, a := range sorted(j.active) {
+			m.stop(now, a, j.rec.Job.SaveS+1)
+		}
+	case gang.Finish:
+		for n := range j.tasks {
+			if j.tasks[n] < taskDone {
+				m.finish(now, j, n)
+			}
+		}
+	}
+}
+
+// rebuilt makes of a gang's records what they say when all have been read. One task that is
+// done proves that all are, whichever record says so: an earlier leader may not have come to
+// write the others.
+func (m *Manager) rebuilt(now micros.Time, j *job) {
+	switch {
+	case j.gang == nil || j.over != "":
+	case j.done > 0:
+		m.follow(now, j, j.gang.Done())
+	default:
+		m.follow(now, j, j.gang.Rebuilt())
+	}
+}
+
+// gangState books that a task of a gang is in another state than before.
+func (m *Manager) gangState(now micros.Time, j *job, state string) {
+	switch state {
+	case wire.TaskRunning:
+		j.gang.Runs()
+	case wire.TaskSaving:
+		m.follow(now, j, j.gang.Saves())
+	}
+}
+
+// gangExit books why a task of a gang has ended without a result. That another is gone, or
+// that the gang was not complete in time, says nothing about its machine. What failed first
+// does, and the gang is not put there again until it has succeeded elsewhere.
+func (m *Manager) gangExit(now micros.Time, mc *machine, j *job, a *attempt, tr wire.TaskReport) {
+	first := j.gang.Phase() != gang.Ending
+	switch {
+	case tr.Why == wire.WhyStopped:
+		a.saved = tr.Saved
+	case first && tr.Why == wire.WhyError:
+		m.noteFailure(now, mc, j)
+	case first && (tr.Why == wire.WhyNoRoom || tr.Why == wire.WhyBusy):
+		j.failed[mc.id]++
+		m.touchJob(j)
+	}
+}
+
+// stopOthers stops what there may be of another attempt than the one that is done.
+func (m *Manager) stopOthers(now micros.Time, j *job, done uint64) {
+	for _, a := range sorted(j.active) {
+		if a.id != done {
+			m.stop(now, a, 0)
+		}
+	}
+}
+
+// mayLaunch tells whether an attempt may be launched, once it is durable itself: a gang's
+// only when all of them are.
+func (a *attempt) mayLaunch() bool { return a.job.gang == nil || a.job.gang.MayLaunch() }
+
+// gangOf gives the gang that a request is for, if it is for one.
+func (m *Manager) gangOf(req Request) *job {
+	for _, ask := range req.Asks {
+		if j := m.jobs[ask.Job]; j != nil && j.gang != nil && ask.Wait == 0 {
+			return j
+		}
+	}
+	return nil
+}
+
+// mayGrant tells whether a request can be granted to a gang: it must be for all its tasks, and
+// for them alone, and nothing of its last attempt may exist any more.
+func (m *Manager) mayGrant(j *job, req Request) bool {
+	n := 0
+	for _, ask := range req.Asks {
+		if ask.Job != j.rec.Job.ID || ask.Wait != 0 || ask.Count < 0 {
+			return false
+		}
+		n += ask.Count
+	}
+	return req.All && n == len(j.tasks) && j.waiting == n && j.gang.Phase() == gang.Apart && m.room(j) >= n
+}
+
+// mayDisplaceGang tells whether a gang may make room for others: not while it is stopped
+// already, or would lose all that it has done.
+func (m *Manager) mayDisplaceGang(now micros.Time, j *job) bool {
+	switch j.gang.Phase() {
+	case gang.Granted, gang.Launched:
+		return true
+	case gang.Running:
+		return j.rec.Job.CheckpointS > 0 && m.savesInTime(now, j)
+	}
+	return false
+}
+
+// savesInTime tells whether an order to save would reach all tasks of a gang in time: each
+// machine hears us, if not directly then by the answer to its next report, and none is
+// taken before.
+func (m *Manager) savesInTime(now micros.Time, j *job) bool {
+	save := micros.Seconds(j.rec.Job.SaveS)
+	for _, a := range j.active {
+		mc := a.machine
+		late := m.cfg.Report.Scale(1.25) + micros.Second
+		if mc.directOK && mc.via == "" {
+			late = micros.Second
+		}
+		silent := now.Sub(mc.lastReport) > m.cfg.Report.Scale(1.25)+micros.Second
+		if silent || mc.deaf != 0 || late > m.cfg.GangPeer || mc.notice != 0 && now.Add(late+save) > mc.notice {
+			return false
+		}
+	}
+	return true
+}
+
+// worthIt tells whether a job that wants room makes use of half of what a gang would free.
+func worthIt(j, victim *job) bool {
+	return 2*float64(j.waiting)*j.rec.Job.CPUs >= float64(len(victim.active))*victim.rec.Job.CPUs
+}
+
+// mostStops bounds how many tasks are stopped at once for a gang.
+const mostStops = 32
+
+// displaceForGang stops others' tasks where that makes room for all of a gang; where it does
+// not, none is stopped.
+func (m *Manager) displaceForGang(now micros.Time, j *job, yards []*yard, promised map[string]Space) {
+	jb := &j.rec.Job
+	need := Need(jb)
+	mine := m.yardsFor(j, yards)
+	zones := map[string][]*yard{}
+	for _, y := range mine {
+		zone := ""
+		if jb.OneZone {
+			zone = y.mc.zone
+		}
+		zones[zone] = append(zones[zone], y)
+	}
+	var best []*attempt
+	found := false
+	least := micros.Forever
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		victims, ok := m.roomForGang(now, j, zones[zone], promised[jb.Team])
+		sum := micros.Span(0)
+		for _, a := range victims {
+			sum += m.loss(now, a)
+		}
+		if ok && (!found || sum < least) {
+			best, least, found = victims, sum, true
+		}
+	}
+	for _, a := range best {
+		m.makeRoom(now, a, yards, jb.ID)
+	}
+	if found {
+		promised[jb.Team] = promised[jb.Team].Plus(need, float64(j.waiting))
+	}
+}
+
+// roomForGang gives tasks whose end makes room for all of a gang on the given machines, those
+// that lose least first; ok: there is enough.
+func (m *Manager) roomForGang(now micros.Time, j *job, yards []*yard, promised Space) (victims []*attempt, ok bool) {
+	need := Need(&j.rec.Job)
+	missing := j.waiting
+	room := map[*machine]Space{}
+	var may []*attempt
+	for _, y := range yards {
+		n := y.room.Holds(need, missing)
+		missing -= n
+		room[y.mc] = y.room.Plus(need, -float64(n))
+		for _, a := range y.victims {
+			if !a.stop && a.job.gang == nil && m.displaces(j, a.job, promised) {
+				may = append(may, a)
+			}
+		}
+	}
+	slices.SortStableFunc(may, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(m.loss(now, a), m.loss(now, b)), cmp.Compare(b.job.rec.Job.CPUs, a.job.rec.Job.CPUs))
+	})
+	for _, a := range may {
+		if missing <= 0 || len(victims) == mostStops {
+			break
+		}
+		r := room[a.machine].Plus(Need(&a.job.rec.Job), 1)
+		n := r.Holds(need, missing)
+		missing -= n
+		room[a.machine] = r.Plus(need, -float64(n))
+		victims = append(victims, a)
+	}
+	return victims, missing <= 0
+}
--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -9,6 +9,9 @@
 func (m *Manager) Grant(now micros.Time, req Request) Result {
 	res := Result{Granted: make([]int, len(req.Asks))}
 	var made []*attempt
+	if j := m.gangOf(req); j != nil && !m.mayGrant(j, req) {
+		return res
+	}
 	for i, ask := range req.Asks {
 		if ask.Wait != 0 {
 			if m.grantWait(now, ask) {
@@ -16,11 +19,8 @@
 			}
 			continue
 		}
-		if j := m.jobs[ask.Job]; j != nil && j.rec.Job.Kind == wire.KindGang && !req.All {
-			continue
-		}
 		for range min(ask.Count, wire.MaxTasks) {
-			a := m.grantOne(now, ask)
+			a := m.grantOne(now, ask, made)
 			if a == nil {
 				break
 			}
@@ -35,12 +35,8 @@
 			return res
 		}
 	}
-	// The tasks of a gang that start together know one another by their attempt.
 	for _, a := range made {
 		a.job.waitSince = now
-		if a.job.rec.Job.Kind == wire.KindGang {
-			a.id = made[0].id
-		}
 	}
 	return res
 }
@@ -65,7 +61,8 @@
 	return true
 }
 
-func (m *Manager) grantOne(now micros.Time, ask Ask) *attempt {
+// grantOne grants a lease for a task; made are those that the request has been granted already.
+func (m *Manager) grantOne(now micros.Time, ask Ask, made []*attempt) *attempt {
 	j, mc := m.jobs[ask.Job], m.machines[ask.Machine]
 	if j == nil || mc == nil || j.over != "" || j.waiting == 0 || now < j.notBefore || !m.usable(now, mc) ||
 		mc.keep != "" && mc.keep != ask.Job {
@@ -84,6 +81,9 @@
 	}
 	a := &attempt{job: j, id: m.cfg.Token<<attemptBits | m.next + 1, machine: mc, session: mc.session,
 		ours: true, kept: mc.keep == ask.Job, leaseEnd: now.Add(ask.Lease)}
+	if j.gang != nil && len(made) > 0 {
+		a.id = made[0].id // its tasks know one another by their attempt
+	}
 	if !m.nextTask(a) {
 		return nil
 	}
--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"saffronbend/internal/micros"
@@ -38,34 +39,91 @@
 	}
 	starved := m.waitingFor(now, m.cfg.Tuning.KeepAfter)
 	slices.SortStableFunc(starved, func(a, b *job) int { return cmp.Compare(a.waitSince, b.waitSince) })
+	gangs := 0
 	for _, j := range starved[:min(len(starved), keepFor)] {
+		if j.gang != nil {
+			// Two that each have half of what they need would wait for ever for the other's.
+			if gangs++; gangs == 1 {
+				kept += m.keepForGang(now, j, mine[j.rec.Job.ID])
+			}
+			continue
+		}
 		for kept < max(1, usable/keepShare) && mine[j.rec.Job.ID] < min(j.waiting, m.room(j)) {
-			mc := m.soonest(now, j)
+			mc := m.soonest(now, j, "")
 			if mc == nil {
 				break
 			}
-			mc.keep = j.rec.Job.ID
-			m.touchMachine(mc)
+			m.keep(mc, j)
 			mine[mc.keep] += mc.holds(j)
 			kept++
-			m.note("room is kept for a job that has waited long", "job", mc.keep, "machine", mc.id)
 		}
 	}
 }
 
+func (m *Manager) keep(mc *machine, j *job) {
+	mc.keep = j.rec.Job.ID
+	m.touchMachine(mc)
+	m.note("room is kept for a job that has waited long", "job", mc.keep, "machine", mc.id)
+}
+
+// keepForGang keeps as many machines as the whole gang takes, in one zone if it must be, also
+// beyond the share that others may have, and gives their number. Where no zone has enough
+// nothing is kept: the fleet has to grow first.
+func (m *Manager) keepForGang(now micros.Time, j *job, mine int) (kept int) {
+	if mine >= j.waiting || m.room(j) < j.waiting {
+		return 0
+	}
+	holds, free := map[string]int{}, map[string]int{}
+	for _, mc := range m.machines {
+		if mc.keep != "" && mc.keep != j.rec.Job.ID || !m.takes(now, mc, j) {
+			continue
+		}
+		zone := ""
+		if j.rec.Job.OneZone {
+			zone = mc.zone
+		}
+		holds[zone] += mc.holds(j)
+		free[zone] += m.free(mc).Holds(Need(&j.rec.Job), wire.MaxTasks)
+		if mc.keep != "" {
+			free[zone] += wire.MaxTasks // it stays where it has begun
+		}
+	}
+	best, found := "", false
+	for _, zone := range slices.Sorted(maps.Keys(holds)) {
+		if holds[zone] >= j.waiting && (!found || free[zone] > free[best]) {
+			best, found = zone, true
+		}
+	}
+	for found && mine < j.waiting {
+		mc := m.soonest(now, j, best)
+		if mc == nil {
+			break
+		}
+		m.keep(mc, j)
+		mine += mc.holds(j)
+		kept++
+	}
+	return kept
+}
+
+// takes tells whether a machine may take a job's tasks once there is room.
+func (m *Manager) takes(now micros.Time, mc *machine, j *job) bool {
+	return m.usable(now, mc) && j.rec.Job.Allows(mc.spec, mc.zone, mc.spot) && m.zoneAllows(j, mc.zone) && j.failed[mc.id] == 0
+}
+
 // holds is how many tasks of a job the machine takes when it is empty.
 func (mc *machine) holds(j *job) int {
 	return Whole(mc.spec).Holds(Need(&j.rec.Job), wire.MaxTasks)
 }
 
 // soonest is the machine on which a task of the job should find room first, by the
-// owners' estimates, when nothing else is placed there.
-func (m *Manager) soonest(now micros.Time, j *job) *machine {
+// owners' estimates, when nothing else is placed there; in the given zone, if one is given.
+func (m *Manager) soonest(now micros.Time, j *job, zone string) *machine {
 	jb := &j.rec.Job
 	var best *machine
 	var bestAt micros.Time
 	for _, mc := range m.machines {
-		if mc.keep != "" || !m.usable(now, mc) || !jb.Allows(mc.spec, mc.zone, mc.spot) || !m.zoneAllows(j, mc.zone) || j.failed[mc.id] > 0 {
+		if mc.keep != "" || zone != "" && zone != mc.zone || !m.takes(now, mc, j) {
 			continue
 		}
 		at, ok := m.fitsAt(now, mc, jb)
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"saffronbend/internal/gang"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/state"
 	"saffronbend/wire"
@@ -13,7 +14,7 @@
 	mc := m.machines[id]
 	if mc == nil {
 		mc = &machine{id: id, born: now, idleSince: now, lastHeard: now, attempts: map[string]*attempt{},
-			strays: map[string]wire.TaskReport{}, tombs: map[uint64]tomb{}, images: map[string]*image{},
+			strays: map[string]wire.TaskReport{}, tombs: map[tombKey]tomb{}, images: map[string]*image{},
 			directOK: true}
 		m.machines[id] = mc
 	}
@@ -212,14 +213,24 @@
 func (m *Manager) vacate(now micros.Time, mc *machine) {
 	for _, a := range sorted(mc.attempts) {
 		jb := &a.job.rec.Job
+		if g := a.job.gang; g != nil && g.Phase() == gang.Launched {
+			// It would lose this machine before it is done, and begins elsewhere at once.
+			m.follow(now, a.job, g.Stop())
+			continue
+		}
 		if a.stop || !a.listed || a.state != wire.TaskRunning || jb.CheckpointS == 0 {
 			continue
 		}
 		// Orders may have to wait for the next report when the direct way fails.
 		need := micros.Seconds(jb.SaveS) + m.cfg.Report + 3*micros.Second
-		if now.Add(need) >= mc.notice {
-			m.stop(now, a, jb.SaveS+1)
+		if now.Add(need) < mc.notice {
+			continue
+		}
+		if a.job.gang != nil {
+			m.follow(now, a.job, a.job.gang.Stop())
+			continue
 		}
+		m.stop(now, a, jb.SaveS+1)
 	}
 }
 
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -14,6 +14,7 @@
 	"maps"
 	"slices"
 
+	"saffronbend/internal/gang"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/settings"
 	"saffronbend/internal/state"
@@ -26,14 +27,17 @@
 
 // Config is what the manager must know beforehand.
 type Config struct {
-	Token   uint64
-	Teams   []settings.Team
-	Lease   micros.Span // worker lease
-	Report  micros.Span
-	Margin  micros.Span // added to a worker lease before it counts as run out
-	Cancel  micros.Span
-	ListLag micros.Span
-	Tuning  settings.Tuning
+	Token  uint64
+	Teams  []settings.Team
+	Lease  micros.Span // worker lease
+	Report micros.Span
+	Margin micros.Span // added to a worker lease before it counts as run out
+	Cancel micros.Span
+	// GangPeer is how soon the tasks of a gang notice that one is gone, and how long one that
+	// has saved waits for the others.
+	GangPeer micros.Span
+	ListLag  micros.Span
+	Tuning   settings.Tuning
 	// Directs bounds the direct orders that are out at once: each takes a connection.
 	Directs int
 	// State holds the limits of the state service.
@@ -53,6 +57,7 @@
 	active  map[int]*attempt
 	chunks  map[int]*chunk
 	arrival uint64
+	gang    *gang.Gang // nil: its tasks are independent
 	over    string
 	overAt  micros.Time
 	// finalSent guards against a second final write while one is out.
@@ -109,6 +114,7 @@
 	leaseEnd                      micros.Time
 	waiter                        string
 	waiterUntil                   micros.Time
+	saved                         bool // has exited after saving
 	stop                          bool
 	stopGrace                     float64
 	stopSent                      micros.Time
@@ -147,7 +153,7 @@
 	strays       map[string]wire.TaskReport
 	// tombs are exited attempts whose direct launch may yet arrive, or arrive again: not
 	// cleared.
-	tombs     map[uint64]tomb
+	tombs     map[tombKey]tomb
 	images    map[string]*image
 	idleSince micros.Time // 0: not idle yet in this term
 	directOK  bool
@@ -243,6 +249,7 @@
 		}
 	}
 	for _, j := range m.byArrival(func(*job) bool { return true }) {
+		m.rebuilt(now, j)
 		// A job cancelled under an earlier leader may still have tasks running.
 		if j.over != "" {
 			m.stopAll(now, j)
@@ -273,6 +280,9 @@
 	j.arrival = m.arrivals
 	j.waitSince = now
 	j.overAt = now
+	if rec.Job.Kind == wire.KindGang {
+		j.gang = gang.New(rec.Job.Tasks)
+	}
 	if d := rec.Job.DeadlineS; d != nil {
 		j.due = j.born.Add(micros.Seconds(*d))
 	}
@@ -317,6 +327,13 @@
 	a.job.active[a.task] = a
 	a.bytes = placementSize(a.placement())
 	m.chunkOf(a.job, a.task).load += a.bytes
+	if g := a.job.gang; g != nil {
+		if a.ours {
+			g.Placed()
+		} else {
+			g.Found()
+		}
+	}
 	a.machine.attempts[a.name] = a
 	if t := m.teams[a.job.rec.Job.Team]; t != nil {
 		t.cpus += a.job.rec.Job.CPUs
@@ -358,6 +375,9 @@
 	m.settle(now, j)
 	m.touchMachine(a.machine)
 	m.touchJob(j)
+	if j.gang != nil {
+		m.follow(now, j, j.gang.Gone(a.saved))
+	}
 }
 
 // settle moves a job on when its last task is done, or when it is over and nothing of
@@ -419,6 +439,9 @@
 }
 
 func (m *Manager) stopAll(now micros.Time, j *job) {
+	if j.gang != nil {
+		j.gang.End()
+	}
 	for _, a := range sorted(j.active) {
 		m.stop(now, a, 0)
 	}
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -30,7 +30,7 @@
 
 func newBench(t *testing.T, open, chunks []wire.Item) *bench {
 	m, err := New(1000, Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUs: 4}}, Lease: lease,
-		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, ListLag: 3 * micros.Second,
+		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, GangPeer: 5 * micros.Second, ListLag: 3 * micros.Second,
 		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, Directs: 2, State: settings.State{TxnOps: 8, ValueKB: 4}}, 0, open, chunks, json.Unmarshal)
 	if err != nil {
 		t.Fatal(err)
@@ -709,7 +709,7 @@
 	b := newBench(t, nil, nil)
 	b.placed()
 	for i := range mostTombs {
-		b.m.machines["n-1-a"].tombs[uint64(i)] = tomb{job: b.m.jobs["run-1"]}
+		b.m.machines["n-1-a"].tombs[tombKey{"run-1/9", uint64(i)}] = tomb{job: b.m.jobs["run-1"]}
 	}
 	b.want(len(b.m.Directs(b.now, true)), 0)
 	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -23,7 +23,7 @@
 			// Done tasks are durable before they are cleared. An attempt whose direct
 			// launch may yet arrive is not cleared, or that launch would start it again.
 			held := ok && j != nil && n < len(j.tasks) && j.over == "" && j.tasks[n] == taskDone && tr.Why == wire.WhyDone
-			if !held && mc.mayClear(tr.Attempt) {
+			if !held && mc.mayClear(tr.Task, tr.Attempt) {
 				cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: tr.Task, Attempt: tr.Attempt})
 			}
 			continue
@@ -48,11 +48,11 @@
 			// The late launch must find the attempt known: it is started and stopped in
 			// the same answer and never cleared. Only while the job may still run.
 			if a.job.over == "" || now < a.job.overAt.Add(m.cfg.Cancel/4) {
-				mc.tombs[a.id] = tomb{job: a.job}
+				mc.tombs[tombKey{name, a.id}] = tomb{job: a.job}
 				a.sentSeq = r.Seq
 				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id}, wire.StopCommand(name, a.id, 0))
 			}
-		case !a.listed && !a.stop && a.ours && launch && mc.confirmed && !a.directOut:
+		case !a.listed && !a.stop && a.ours && launch && mc.confirmed && !a.directOut && a.mayLaunch():
 			a.sentSeq = r.Seq
 			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id})
 		}
@@ -105,7 +105,7 @@
 			case a.listed && a.stop && a.stopSent == 0:
 				a.stopSent = now
 				d.Body.Commands = append(d.Body.Commands, wire.StopCommand(name, a.id, a.stopGrace))
-			case launch && a.ours && !a.stop && !a.listed && a.sentSeq == 0 && !a.directLost && len(mc.tombs) < mostTombs:
+			case launch && a.ours && !a.stop && !a.listed && a.sentSeq == 0 && !a.directLost && len(mc.tombs) < mostTombs && a.mayLaunch():
 				a.directOut, a.direct = true, true
 				d.Body.Commands = append(d.Body.Commands, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id})
 			}
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -42,6 +42,10 @@
 			m.preemptFrom = j.rec.Job.ID
 			return
 		}
+		if j.gang != nil {
+			m.displaceForGang(now, j, yards, promised)
+			continue
+		}
 		if budget = m.displace(now, j, yards, promised, budget); budget == 0 {
 			return
 		}
@@ -70,6 +74,9 @@
 				y.room = y.room.Plus(Need(jb), 1)
 			case a.kept:
 				// It has waited long for this room.
+			case a.job.gang != nil && m.mayDisplaceGang(now, a.job):
+				y.victims = append(y.victims, a)
+			case a.job.gang != nil:
 			case a.state != wire.TaskRunning || jb.CheckpointS > 0: // else its work would be lost
 				y.victims = append(y.victims, a)
 			}
@@ -86,13 +93,7 @@
 func (m *Manager) displace(now micros.Time, j *job, yards []*yard, promised map[string]Space, budget int) int {
 	jb := &j.rec.Job
 	need := Need(jb)
-	var mine []*yard
-	for _, y := range yards {
-		if jb.Allows(y.mc.spec, y.mc.zone, y.mc.spot) && m.zoneAllows(j, y.mc.zone) && j.failed[y.mc.id] == 0 &&
-			(y.mc.keep == "" || y.mc.keep == jb.ID) {
-			mine = append(mine, y)
-		}
-	}
+	mine := m.yardsFor(j, yards)
 	take := func(y *yard) {
 		y.room = y.room.Plus(need, -1)
 		promised[jb.Team] = promised[jb.Team].Plus(need, 1)
@@ -114,8 +115,12 @@
 				if a.stop || !m.displaces(j, a.job, promised[jb.Team]) {
 					continue
 				}
+				loss := m.loss(now, a)
 				after := y.room.Plus(Need(&a.job.rec.Job), 1)
-				if loss := loss(a); loss < least && after.Fits(need) {
+				if a.job.gang != nil && !worthIt(j, a.job) {
+					continue
+				}
+				if loss < least && after.Fits(need) {
 					best, victim, least = y, a, loss
 				}
 			}
@@ -123,15 +128,8 @@
 		if victim == nil {
 			return budget
 		}
-		vb := &victim.job.rec.Job
-		best.room = best.room.Plus(Need(vb), 1)
+		m.makeRoom(now, victim, yards, jb.ID)
 		take(best)
-		grace := 0.0
-		if vb.CheckpointS > 0 {
-			grace = vb.SaveS + 1
-		}
-		m.note("task makes room for more urgent work", "task", victim.name, "machine", best.mc.id, "for", jb.ID)
-		m.stop(now, victim, grace)
 		if budget--; budget == 0 {
 			return 0
 		}
@@ -139,12 +137,65 @@
 	return budget
 }
 
-// loss is the time that a task loses when it makes room.
-func loss(a *attempt) micros.Span {
+// yardsFor gives the machines that may take a job's tasks once there is room.
+func (m *Manager) yardsFor(j *job, yards []*yard) []*yard {
+	jb := &j.rec.Job
+	var mine []*yard
+	for _, y := range yards {
+		if jb.Allows(y.mc.spec, y.mc.zone, y.mc.spot) && m.zoneAllows(j, y.mc.zone) && j.failed[y.mc.id] == 0 &&
+			(y.mc.keep == "" || y.mc.keep == jb.ID) {
+			mine = append(mine, y)
+		}
+	}
+	return mine
+}
+
+// makeRoom stops a task, or the whole gang that it belongs to, and books the room that comes
+// free.
+func (m *Manager) makeRoom(now micros.Time, a *attempt, yards []*yard, by string) {
+	jb := &a.job.rec.Job
+	m.note("task makes room for more urgent work", "task", a.name, "machine", a.machine.id, "for", by)
+	freed := []*attempt{a}
+	if a.job.gang != nil {
+		freed = sorted(a.job.active)
+		m.follow(now, a.job, a.job.gang.Stop())
+	} else {
+		grace := 0.0
+		if jb.CheckpointS > 0 {
+			grace = jb.SaveS + 1
+		}
+		m.stop(now, a, grace)
+	}
+	for _, x := range freed {
+		if i := slices.IndexFunc(yards, func(y *yard) bool { return y.mc == x.machine }); i >= 0 {
+			yards[i].room = yards[i].room.Plus(Need(jb), 1)
+		}
+	}
+}
+
+// loss is the time that a task loses when it makes room; for one of a gang, what all of them
+// lose. One that cannot save in time loses what it did since its last checkpoint.
+func (m *Manager) loss(now micros.Time, a *attempt) micros.Span {
+	jb := &a.job.rec.Job
+	n := micros.Span(1)
+	if a.job.gang != nil {
+		// All fetch and wait anew.
+		n = micros.Span(len(a.job.active))
+		if a.state != wire.TaskRunning {
+			return n * micros.Second
+		}
+	}
 	if a.state != wire.TaskRunning {
 		return 0
 	}
-	return micros.Seconds(a.job.rec.Job.SaveS)
+	lost := micros.Seconds(jb.SaveS)
+	if a.job.gang != nil && !m.savesInTime(now, a.job) {
+		lost = now.Sub(a.runSince)
+		if every := micros.Seconds(jb.CheckpointS); every > 0 {
+			lost %= every
+		}
+	}
+	return n * lost
 }
 
 // guaranteed tells whether the team's guarantee covers another task of the job, beside
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"saffronbend/internal/gang"
 	"saffronbend/internal/micros"
 	"saffronbend/wire"
 )
@@ -150,6 +151,13 @@
 				leaseEnd: now.Add(m.cfg.Tuning.FirstLease)}
 			m.place(a)
 			m.touch(now, j, n, false)
+			if j.gang != nil {
+				// Not of an attempt that the books know as a whole, so it ends.
+				m.follow(now, j, j.gang.Rebuilt())
+				if j.gang.Phase() == gang.Ending {
+					m.stop(now, a, 0)
+				}
+			}
 		}
 		if a == nil || a.id != tr.Attempt || a.machine != mc {
 			mc.strays[tr.Task] = tr
@@ -165,6 +173,9 @@
 				a.runSince = now
 			}
 			m.touchJob(j)
+			if j.gang != nil {
+				m.gangState(now, j, tr.State)
+			}
 		}
 		m.noteImage(now, mc, &j.rec.Job, tr.State != wire.TaskFetching)
 	}
@@ -193,18 +204,14 @@
 
 // exited books a task that the worker lists as exited.
 func (m *Manager) exited(now micros.Time, mc *machine, j *job, n int, a *attempt, tr wire.TaskReport) {
-	if _, ok := mc.tombs[tr.Attempt]; ok && a == nil {
+	if _, ok := mc.tombs[tombKey{tr.Task, tr.Attempt}]; ok && a == nil {
 		return // booked before, and still listed because it is not cleared
 	}
 	mine := a != nil && a.id == tr.Attempt && a.machine == mc
 	if tr.Why == wire.WhyDone {
 		// A result counts from whichever attempt it comes.
 		if j.tasks[n] < taskDone {
-			if j.tasks[n] == taskWaiting {
-				j.waiting--
-			}
-			j.tasks[n] = taskDone
-			j.done++
+			m.finish(now, j, n)
 			j.failed, j.fails = map[string]int{}, 0
 			// Of a run that began under an earlier leader only the end is known.
 			if mine && a.ours && a.runSince != 0 {
@@ -213,8 +220,9 @@
 					Machine: mc.id, Run: now.Sub(a.runSince)})
 			}
 			mc.fails = 0
-			m.touchJob(j)
-			m.touch(now, j, n, false)
+			if j.gang != nil {
+				m.follow(now, j, j.gang.Done())
+			}
 		}
 		m.noteImage(now, mc, &j.rec.Job, true)
 		if mine {
@@ -223,6 +231,9 @@
 		} else if a != nil {
 			m.stop(now, a, 0)
 		}
+		if j.gang != nil {
+			m.stopOthers(now, j, tr.Attempt)
+		}
 		if j.done == len(j.tasks) {
 			m.learnGuess(j)
 		}
@@ -232,13 +243,27 @@
 	if !mine {
 		return
 	}
-	if tr.Why == wire.WhyError {
+	switch {
+	case j.gang != nil:
+		m.gangExit(now, mc, j, a, tr)
+	case tr.Why == wire.WhyError:
 		m.noteFailure(now, mc, j)
 	}
 	m.bury(a, false)
 	m.drop(now, a)
 }
 
+// finish counts a task as done.
+func (m *Manager) finish(now micros.Time, j *job, n int) {
+	if j.tasks[n] == taskWaiting {
+		j.waiting--
+	}
+	j.tasks[n] = taskDone
+	j.done++
+	m.touchJob(j)
+	m.touch(now, j, n, false)
+}
+
 // tomb is an exited attempt that its worker must go on knowing: once cleared, a late copy
 // of its direct launch would start it again, while its task may be elsewhere or its job
 // cancelled. One that is done may be cleared when its job is done, which can't be
@@ -248,6 +273,12 @@
 	done bool
 }
 
+// tombKey names an attempt: the tasks of a gang share its number.
+type tombKey struct {
+	task    string
+	attempt uint64
+}
+
 // mostTombs bounds the length of a machine's reports: one with more gets its launches in
 // answers to them, which do not come late.
 const mostTombs = 128
@@ -256,17 +287,18 @@
 func (m *Manager) bury(a *attempt, done bool) {
 	if a.directLost || a.directOut || a.direct {
 		limit := m.teams[a.job.rec.Job.Team]
-		a.machine.tombs[a.id] = tomb{a.job, done && !a.directLost && !a.directOut && (limit == nil || limit.CPUsMax+limit.GPUsMax == 0)}
+		a.machine.tombs[tombKey{a.name, a.id}] = tomb{a.job, done && !a.directLost && !a.directOut && (limit == nil || limit.CPUsMax+limit.GPUsMax == 0)}
 	}
 }
 
 // mayClear tells whether an exited attempt may be cleared, and forgets its tomb then.
-func (mc *machine) mayClear(attempt uint64) bool {
-	t, ok := mc.tombs[attempt]
+func (mc *machine) mayClear(task string, attempt uint64) bool {
+	key := tombKey{task, attempt}
+	t, ok := mc.tombs[key]
 	if ok && !(t.done && t.job.over == wire.JobDone) {
 		return false
 	}
-	delete(mc.tombs, attempt)
+	delete(mc.tombs, key)
 	return true
 }
 
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -199,6 +199,7 @@
 		State: mc.state, Failed: mc.state == wire.MachineFailed, Deleting: mc.deleting,
 		Suspect: mc.suspect, Missing: m.missing(mc), Born: mc.born, Heard: mc.lastHeard, Deaf: mc.deaf}
 	mc.shownUsable = mv.Usable
+	mv.Doubt = mc.fails > 0 || mc.slow > 0
 	mv.Space = m.free(mc)
 	// A machine that has just come up reports twice before it is usable: the second
 	// time it has our token.
@@ -233,7 +234,7 @@
 // same tells whether schedulers see the machine as in an earlier view.
 func (m *MachineView) same(o *MachineView) bool {
 	return m.Type == o.Type && m.Zone == o.Zone && m.Spot == o.Spot && m.Usable == o.Usable && m.Space == o.Space &&
-		m.Keep == o.Keep && slices.Equal(m.Images, o.Images) &&
+		m.Keep == o.Keep && m.Doubt == o.Doubt && slices.Equal(m.Images, o.Images) &&
 		slices.Equal(m.Fetching, o.Fetching) &&
 		slices.EqualFunc(m.Leases, o.Leases, func(a, b LeaseGroup) bool {
 			return a.Job == b.Job && slices.EqualFunc(a.Leases, b.Leases, func(x, y Lease) bool {
@@ -246,7 +247,7 @@
 	jb := &j.rec.Job
 	jv := &JobView{ID: jb.ID, Class: jb.Class, Team: jb.Team, Priority: jb.Priority(), Space: Need(jb),
 		Image: jb.Image, ImageGB: jb.ImageGB, Types: jb.Types, Zone: jb.Zone, Spot: jb.Spot,
-		OneZone: jb.OneZone, Gang: jb.Kind == wire.KindGang, Estimate: m.estimate(j), Waiting: j.waiting, Active: len(j.active),
+		OneZone: jb.OneZone, Gang: j.gang != nil, Estimate: m.estimate(j), Waiting: j.waiting, Active: len(j.active),
 		Done: j.done, NotBefore: j.notBefore, Born: j.born, Due: j.due, Since: j.waitSince, arrival: j.arrival}
 	if jb.Spread {
 		jv.ZoneMax = (jb.Tasks + 1) / 2
@@ -258,7 +259,7 @@
 		}
 	}
 	for _, a := range j.active {
-		if a.listed && a.state != wire.TaskFetching {
+		if a.listed && a.state != wire.TaskFetching && a.state != wire.TaskWaiting {
 			jv.Running++
 		}
 	}
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -243,6 +243,9 @@
 	for _, a := range b.attempts {
 		a.durable = true
 		m.direct[a.machine.id] = true
+		if j := a.job; j.gang != nil && j.active[a.task] == a {
+			m.follow(now, j, j.gang.Recorded())
+		}
 	}
 	for _, d := range b.done {
 		if d.job.tasks[d.task] == taskDone {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -209,6 +209,7 @@
 	w.workers.Report, w.workers.Lease = seconds(w.values["report_s"]), seconds(w.values["lease_s"])
 	w.referee.CancelWithin(seconds(w.values["cancel_s"]))
 	w.workers.Types, w.workers.Referee = w.byName, w.referee
+	w.workers.Gangs = standin.NewGangs(seconds(w.values["gang_wait_s"]), seconds(w.values["gang_peer_s"]))
 	w.cloud = standin.NewCloud(w.types, listLagS*time.Second, func(id, ip, typ, zone string, spot bool) *standin.Worker {
 		return standin.NewWorker(w.ctx, w.net, w.workers, id, ip, typ, zone, spot)
 	})
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -48,7 +48,7 @@
 		return w.stateFault(f[1:])
 	case "cloud":
 		return w.cloudFault(f[1:])
-	case "hang", "resume", "die", "take", "notice", "copies", "repeats":
+	case "hang", "resume", "sicken", "die", "take", "notice", "copies", "repeats":
 		return w.machineFault(f[0], f[1:])
 	default:
 		return fmt.Errorf("unknown word")
@@ -217,6 +217,13 @@
 		}
 	case "starts": // ID N
 		got = fmt.Sprint(w.referee.Starts(f[1]))
+	case "runs": // ID N: how often a gang has begun to run
+		got = fmt.Sprint(w.referee.Runs(f[1]))
+	case "saved": // ID SECONDS, at least: progress that a gang has saved
+		if s := w.workers.Gangs.Saved(f[1]); s >= seconds(number(want)) {
+			return nil
+		}
+		got = w.workers.Gangs.Saved(f[1]).String()
 	case "on": // ID N
 		got = fmt.Sprint(len(w.referee.On(f[1])))
 	case "task": // ID INDEX MACHINE
@@ -376,6 +383,8 @@
 		wk.Hang()
 	case "resume":
 		wk.Resume()
+	case "sicken":
+		wk.Sicken()
 	case "die":
 		w.cloud.Die(f[0])
 	case "take":
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -128,6 +128,12 @@
 			return 1
 		case a.Priority != b.Priority:
 			return cmp.Compare(b.Priority, a.Priority)
+		case a.Gang != b.Gang:
+			// What needs all its room at once goes before what takes it bit by bit.
+			if a.Gang {
+				return -1
+			}
+			return 1
 		}
 		return cmp.Compare(s.laxity(a), s.laxity(b))
 	})
@@ -276,13 +282,19 @@
 	if j.OneZone && len(j.inZone) == 0 {
 		s.settleZone(j)
 	}
+	wants := min(j.wants, most)
+	if j.Gang {
+		if j.Active > 0 || j.wants < j.Waiting {
+			return nil // what is left of its last attempt, or the team's limit, is in the way
+		}
+		wants = j.wants
+	}
 	free := s.candidates(j)
 	if len(free) == 0 {
 		return nil // nothing to weigh: the tasks stay in the queue
 	}
 	var picked []choice
 	placed, local := 0, 0
-	wants := min(j.wants, most)
 	var waits []choice
 	weighed := false
 	for _, c := range free {
@@ -300,7 +312,7 @@
 				local++
 			}
 		}
-		n := min(wants-placed, s.room(j, c.m))
+		n := s.room(j, c.m, wants-placed)
 		if n <= 0 {
 			continue
 		}
@@ -315,8 +327,8 @@
 	if len(picked) == 0 {
 		return nil
 	}
-	partial := j.Gang && (placed < j.Waiting || j.Active > 0)
-	if partial || float64(local) < s.tuning.MinLocality*float64(placed) && s.skip(now, j) {
+	partial := j.Gang && placed < wants
+	if partial || float64(local) < s.tuning.MinLocality*float64(placed) && s.skip(now, j, placed-local) {
 		for _, c := range picked {
 			s.book(j, c, -1)
 		}
@@ -361,14 +373,13 @@
 	}
 }
 
-// room is how many tasks of the job a machine takes now.
-func (s *Scheduler) room(j *queued, m *machine) int {
+// room is how many tasks of the job a machine takes now, n at the most.
+func (s *Scheduler) room(j *queued, m *machine, n int) int {
 	if !s.zoneAllows(j, m.Zone) {
 		return 0
 	}
-	n := most
 	if j.ZoneMax > 0 {
-		n = j.ZoneMax - j.inZone[m.Zone]
+		n = min(n, j.ZoneMax-j.inZone[m.Zone])
 	}
 	return m.left.Holds(j.Space, n)
 }
@@ -401,14 +412,31 @@
 				return 1
 			}
 		}
+		if j.Gang && a.m.Doubt != b.m.Doubt {
+			if b.m.Doubt {
+				return -1
+			}
+			return 1
+		}
 		if c := ranks[a.m] - ranks[b.m]; c != 0 {
 			return c
 		}
+		if j.Gang {
+			if c := s.fewer(j, a.m, b.m); c != 0 {
+				return c
+			}
+		}
 		return better(a.m, b.m)
 	})
 	return out
 }
 
+// fewer prefers the machine that takes more of a gang: each machine that it is on may fail
+// or be slow for all of it.
+func (s *Scheduler) fewer(j *queued, a, b *machine) int {
+	return s.room(j, b, j.wants) - s.room(j, a, j.wants)
+}
+
 // better prefers spot machines, so that dearer ones fall idle, and then the machine that
 // the task fills more, so that large tasks find room on large machines.
 func better(a, b *machine) int {
@@ -422,17 +450,26 @@
 }
 
 // settleZone chooses the zone of a job that wants all its tasks in one: where most of
-// them find room now.
+// them find room now, for a gang that fits in several, on machines that have its image.
 func (s *Scheduler) settleZone(j *queued) {
-	room := map[string]int{}
+	room, local := map[string]int{}, map[string]int{}
 	best := ""
 	for _, m := range s.order {
 		if !m.Usable || !s.allows(j, m) {
 			continue
 		}
-		room[m.Zone] += min(j.wants, s.room(j, m))
-		if best == "" || room[m.Zone] > room[best] {
-			best = m.Zone
+		n := s.room(j, m, j.wants)
+		room[m.Zone] += n
+		if j.Gang && !m.Doubt && slices.Contains(m.Images, j.Image) {
+			local[m.Zone] += n
+		}
+	}
+	for _, z := range slices.Sorted(maps.Keys(room)) {
+		if j.Gang {
+			room[z], local[z] = min(room[z], j.wants), min(local[z], j.wants)
+		}
+		if best == "" || cmp.Or(room[z]-room[best], local[z]-local[best]) > 0 {
+			best = z
 		}
 	}
 	if best != "" {
@@ -443,8 +480,10 @@
 
 // skip tells whether a job below the minimum level is passed over. The exception to
 // the design (docs/design.md): it is not, once nothing that the skip waits for can
-// come: no machine with the image has a lease that ends within what is left of it.
-func (s *Scheduler) skip(now micros.Time, j *queued) bool {
+// come: no machine with the image has a lease that ends within what is left of it. For a
+// gang the wait for one place holds up all: it is worth it only where as many places as would
+// fetch come free before that fetch would end.
+func (s *Scheduler) skip(now micros.Time, j *queued, cold int) bool {
 	since, ok := s.skipped[j.ID]
 	if !ok {
 		since = now
@@ -454,14 +493,20 @@
 	if left <= 0 {
 		return false
 	}
+	places := 0
 	for _, m := range s.order {
 		if !m.Usable || !slices.Contains(m.Images, j.Image) || !s.allows(j, m) {
 			continue
 		}
+		if j.Gang {
+			left = min(left, s.fetchTime(j, m.Zone))
+		}
 		for _, g := range m.Leases {
 			for _, l := range g.Leases {
 				if ends := l.Ends.Sub(s.view.Now); ends <= left && ends > -s.tuning.Grace && fitsAfter(j, m, g) {
-					return true
+					if places++; !j.Gang || places >= cold {
+						return true
+					}
 				}
 			}
 		}
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -17,6 +17,8 @@
 	types  map[string]*wire.MachineType
 	jobs   map[string]*refJob
 	starts map[string]int // by job
+	run    map[string]int // gangs: how often one has begun to run as a whole
+	begun  map[gangKey]map[int]bool
 	used   map[string]float64
 	broken []string
 }
@@ -35,7 +37,7 @@
 // NewReferee makes a referee.
 func NewReferee() *Referee {
 	return &Referee{limits: map[string]float64{}, types: map[string]*wire.MachineType{}, jobs: map[string]*refJob{},
-		starts: map[string]int{}, used: map[string]float64{}}
+		starts: map[string]int{}, run: map[string]int{}, begun: map[gangKey]map[int]bool{}, used: map[string]float64{}}
 }
 
 // Limit sets a team's limit of CPUs.
@@ -62,6 +64,32 @@
 	return r.starts[job]
 }
 
+// Runs gives how often a gang has begun to run.
+func (r *Referee) Runs(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.run[job]
+}
+
+// runs notes that a task of a gang runs, which it may only while each of its mates is on a
+// machine too, or was within the time in which the loss of one is noticed.
+func (r *Referee) runs(id string, n int, attempt uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := gangKey{id, attempt}
+	if r.begun[k] == nil {
+		r.begun[k] = map[int]bool{}
+		r.run[id]++
+		if j := r.jobs[id]; len(j.on) < j.job.Tasks {
+			r.breach("half_gang", "%s begins with %d of %d tasks on machines", id, len(j.on), j.job.Tasks)
+		}
+	}
+	if r.begun[k][n] {
+		r.breach("half_gang", "%s/%d begins twice in attempt %d", id, n, attempt)
+	}
+	r.begun[k][n] = true
+}
+
 // On gives the machines that a job's tasks are on.
 func (r *Referee) On(job string) map[int]string {
 	r.mu.Lock()
@@ -184,5 +212,8 @@
 	r.used[j.job.Team] -= j.job.CPUs
 	if done {
 		j.done[n] = true
+		for i := 0; j.job.Kind == wire.KindGang && i < j.job.Tasks; i++ {
+			j.done[i] = true // they complete together
+		}
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,6 +22,7 @@
 	Nodes         []Address
 	Types         map[string]*wire.MachineType
 	Referee       *Referee
+	Gangs         *Gangs
 }
 
 // Address is a controller and where it serves workers.
@@ -49,6 +50,7 @@
 	inFlight, changed   bool
 	nextReport          time.Time
 	lastReport          time.Time
+	sick                bool // fails every task
 	hung                chan struct{}
 	dying               atomic.Bool
 	gone                chan struct{}
@@ -64,10 +66,11 @@
 	saved   bool
 	on      bool // on the machine, as the rules count it
 	until   time.Time
-	stopped bool
 	desc    wire.Job
 }
 
+func (t *workerTask) gang() bool { return t.desc.Kind == wire.KindGang }
+
 // NewWorker starts a worker; it ends with ctx or Stop.
 func NewWorker(ctx context.Context, n *Network, cfg WorkerConfig, id, ip, typ, zone string, spot bool) *Worker {
 	ctx, cancel := context.WithCancel(ctx)
@@ -112,6 +115,9 @@
 	}
 }
 
+// Sicken has the machine fail every task that it starts.
+func (w *Worker) Sicken() { w.inbox <- func() { w.sick = true } }
+
 // Copies has a copy of every report arrive late as well, also once the machine is gone.
 func (w *Worker) Copies(late time.Duration) { w.inbox <- func() { w.copies = late } }
 
@@ -172,6 +178,9 @@
 		if t.state == wire.TaskFetching {
 			until = w.images[t.desc.Image]
 		}
+		if t.on && t.gang() {
+			until = now.Add(gangStep)
+		}
 		if t.state != wire.TaskExited && until.Before(at) {
 			at = until
 		}
@@ -214,6 +223,9 @@
 func (w *Worker) leave(t *workerTask, done bool) {
 	if t.on {
 		t.on = false
+		if t.gang() {
+			w.cfg.Gangs.leave(t)
+		}
 		w.cfg.Referee.left(w, t.job, t.index, done)
 	}
 }
@@ -225,6 +237,10 @@
 }
 
 func (w *Worker) advance(now time.Time, t *workerTask) {
+	if t.on && t.gang() {
+		w.withMates(t)
+		return
+	}
 	switch t.state {
 	case wire.TaskFetching:
 		if now.Before(w.images[t.desc.Image]) {
@@ -235,8 +251,13 @@
 		t.until = now.Add(run)
 		w.changed = true
 		w.cfg.Referee.started(w, t.job, t.index)
-		if fails {
+		if fails || w.sick {
 			w.exit(t, wire.WhyError, false)
+			return
+		}
+		if t.gang() {
+			t.state, t.until = wire.TaskWaiting, now
+			w.cfg.Gangs.enter(t)
 		}
 	case wire.TaskRunning:
 		if !now.Before(t.until) {
@@ -249,6 +270,20 @@
 	}
 }
 
+// withMates takes a task of a gang on by what its mates do.
+func (w *Worker) withMates(t *workerTask) {
+	_, run, _, _ := w.cfg.Referee.describe(t.job)
+	fate := w.cfg.Gangs.look(t, t.until, run)
+	if fate.runs && t.state == wire.TaskWaiting {
+		t.state = wire.TaskRunning
+		w.changed = true
+		w.cfg.Referee.runs(t.job, t.index, t.attempt)
+	}
+	if fate.exits != "" {
+		w.exit(t, fate.exits, fate.saved)
+	}
+}
+
 func (w *Worker) report(ctx context.Context, now time.Time) {
 	w.inFlight, w.changed = true, false
 	w.lastReport = now
@@ -487,6 +522,9 @@
 	}
 	if t.state == wire.TaskRunning && t.desc.CheckpointS > 0 && grace >= t.desc.SaveS {
 		t.state = wire.TaskSaving
+		if t.gang() {
+			w.cfg.Gangs.told(t)
+		}
 		t.until = time.Now().Add(time.Duration(t.desc.SaveS * float64(time.Second)))
 		w.changed = true
 		return
--- a/term.go
+++ b/term.go
@@ -124,7 +124,7 @@
 		if err == nil {
 			now := n.clock.Now()
 			t.mgr, err = manager.New(now, manager.Config{Token: t.token, Teams: d.Teams, Lease: n.set.Lease(),
-				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS), ListLag: micros.Seconds(d.Cloud.ListLagS),
+				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS), GangPeer: n.set.GangPeer(), ListLag: micros.Seconds(d.Cloud.ListLagS),
 				Tuning: n.set.Tuning, Directs: max(4, d.Limits.MaxConnections/16), State: d.State.Within()},
 				n.clock.Wall(), open, chunks, json.Unmarshal)
 			if err != nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -28,6 +28,7 @@
 // Task states as workers report them.
 const (
 	TaskFetching = "fetching"
+	TaskWaiting  = "waiting" // task of a gang: for the others of its attempt
 	TaskRunning  = "running"
 	TaskSaving   = "saving"
 	TaskExited   = "ended"
@@ -41,6 +42,8 @@
 	WhyNoRoom  = "no_room"
 	WhyBusy    = "in_use"
 	WhyUnknown = "unknown"
+	WhyMates   = "mates_gone" // task of a gang: another is gone
+	WhyAlone   = "alone"      // task of a gang: it was not complete in time
 )
 
 // Commands to workers.
@@ -57,11 +60,11 @@
 	MachineFailed   = "failed"
 )
 
-// Shapes of jobs. The protocol's text defines arrays only; the wire names the other
-// two, and docs/questions.md says how they are understood.
+// Shapes of jobs. Services are named on the wire only; docs/questions.md says how they are
+// understood.
 const (
 	KindArray   = "batch"   // independent tasks
-	KindGang    = "group"   // all tasks start together or none
+	KindGang    = "group"   // all tasks run together or none does
 	KindService = "service" // tasks that run until the job is cancelled
 )
 
