--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -110,6 +110,21 @@
 	// expected tasks have not been asked for yet: only free room is room for them, and
 	// only spot machines are rented for them where they may use those.
 	expected bool
+	inZone   map[string]int // tasks of a job that must be spread, by zone
+}
+
+// less is what is left to want when n tasks have found room in a zone.
+func (w *want) less(zone string, n int) *want {
+	rest := *w
+	rest.n -= n
+	if w.ZoneMax > 0 {
+		rest.inZone = maps.Clone(w.inZone)
+		if rest.inZone == nil {
+			rest.inZone = map[string]int{}
+		}
+		rest.inZone[zone] += n
+	}
+	return &rest
 }
 
 // take books as many of the wanted tasks as fit, also into room to come, and gives their
@@ -128,6 +143,9 @@
 		have = have.Plus(b.later, 1)
 	}
 	n := have.Holds(w.Space, w.n)
+	if w.ZoneMax > 0 {
+		n = min(n, w.ZoneMax-w.inZone[b.zone])
+	}
 	if n <= 0 {
 		return 0
 	}
@@ -253,7 +271,7 @@
 	var wants []*want
 	for _, j := range v.Jobs {
 		if n := v.Wants(j); n > 0 {
-			wants = append(wants, &want{JobView: j, n: n, choices: f.choices(j), urgent: f.cfg.Urgent[j.Class]})
+			wants = append(wants, &want{JobView: j, n: n, choices: f.choices(j), urgent: f.cfg.Urgent[j.Class], inZone: j.InZone})
 		}
 	}
 	slices.SortStableFunc(wants, func(a, b *want) int {
@@ -268,8 +286,10 @@
 			f.settleZone(v.Now, w, bins)
 		}
 		for _, b := range bins {
-			if w.n -= b.take(w); w.n == 0 {
-				break
+			if n := b.take(w); n > 0 {
+				if w = w.less(b.zone, n); w.n == 0 {
+					break
+				}
 			}
 		}
 		if w.n > 0 {
@@ -417,9 +437,7 @@
 			work += float64(got) * w.CPUs * w.Estimate.Seconds()
 			longest = max(longest, w.Estimate.Seconds())
 			if got < w.n {
-				fewer := *w
-				fewer.n -= got
-				left = append(left, &fewer)
+				left = append(left, w.less(p.zone, got))
 			}
 		}
 		if !b.used {
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -115,11 +115,11 @@
 				if a.stop || !m.displaces(j, a.job, promised[jb.Team]) {
 					continue
 				}
-				loss := m.loss(now, a)
-				after := y.room.Plus(Need(&a.job.rec.Job), 1)
 				if a.job.gang != nil && !worthIt(j, a.job) {
 					continue
 				}
+				loss := m.loss(now, a)
+				after := y.room.Plus(Need(&a.job.rec.Job), y.freedBy(a))
 				if loss < least && after.Fits(need) {
 					best, victim, least = y, a, loss
 				}
@@ -150,6 +150,20 @@
 	return mine
 }
 
+// freedBy is how many tasks go from the machine when the given one does.
+func (y *yard) freedBy(a *attempt) float64 {
+	if a.job.gang == nil {
+		return 1
+	}
+	n := 0.0
+	for _, x := range y.victims {
+		if x.job == a.job {
+			n++
+		}
+	}
+	return n
+}
+
 // makeRoom stops a task, or the whole gang that it belongs to, and books the room that comes
 // free.
 func (m *Manager) makeRoom(now micros.Time, a *attempt, yards []*yard, by string) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 	*manager.JobView
 	wants  int
 	inZone map[string]int
+	zone   string // where all its tasks are to be in this view, if they must be in one
 }
 
 type history struct {
@@ -279,7 +280,7 @@
 // each task, the place after a lease on one that ends before a cold fetch would, or a
 // free machine that must fetch.
 func (s *Scheduler) job(now micros.Time, j *queued) []manager.Ask {
-	if j.OneZone && len(j.inZone) == 0 {
+	if j.OneZone && len(j.InZone) == 0 {
 		s.settleZone(j)
 	}
 	wants := min(j.wants, most)
@@ -473,8 +474,7 @@
 		}
 	}
 	if best != "" {
-		// Tasks elsewhere are ruled out for this view; the leader checks again.
-		j.inZone = map[string]int{best: 1}
+		j.zone = best // the leader checks again
 	}
 }
 
@@ -515,7 +515,7 @@
 }
 
 func (s *Scheduler) zoneAllows(j *queued, zone string) bool {
-	return !(j.ZoneMax > 0 && j.inZone[zone] >= j.ZoneMax || j.OneZone && len(j.inZone) > 0 && j.inZone[zone] == 0)
+	return !(j.ZoneMax > 0 && j.inZone[zone] >= j.ZoneMax || j.zone != "" && j.zone != zone || j.OneZone && len(j.InZone) > 0 && j.InZone[zone] == 0)
 }
 
 func (s *Scheduler) allows(j *queued, m *machine) bool {
