Recorded examples of the production version's records and messages, read both ways

testdata/production.jsonl was written by the production version. Frozen types say what it knows; a scenario takes over a running service from its records.

--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -19,6 +19,12 @@
 	switch f[0] {
 	case "submit": // ID [key=value...] [at MEMBER] => CODE
 		return w.submit(f[1:], want)
+	case "known": // ID [key=value...]: an earlier service has accepted it
+		j, run, fails, err := w.job(f[1:])
+		if err != nil {
+			return err
+		}
+		w.referee.Submitted(j, run, fails)
 	case "poll": // ID [at MEMBER] => CODE or STATUS
 		return w.expect(http.MethodGet, f[1], "", f[2:], want)
 	case "withdraw": // ID [at MEMBER] => CODE or STATUS
@@ -48,7 +54,7 @@
 		return w.stateFault(f[1:])
 	case "cloud":
 		return w.cloudFault(f[1:])
-	case "hang", "resume", "sicken", "die", "take", "notice", "copies", "repeats":
+	case "hang", "resume", "sicken", "die", "take", "notice", "copies", "repeats", "launched":
 		return w.machineFault(f[0], f[1:])
 	default:
 		return fmt.Errorf("unknown word")
@@ -89,9 +95,24 @@
 
 func (w *world) submit(f []string, want string) error {
 	f, member := w.at(f)
-	j := wire.Job{ID: f[0], Class: "work", Team: "red", Kind: wire.KindArray, Urgency: "normal", Tasks: 1, CPUs: 1, MemoryGB: 1,
+	j, run, fails, err := w.job(f)
+	if err != nil {
+		return err
+	}
+	w.referee.Submitted(j, run, fails)
+	code, st, err := w.ask(http.MethodPost, member, wire.PathJobs, j)
+	if err != nil {
+		return err
+	}
+	w.referee.Told(j.ID, code, st.Status)
+	return compare(code, st.Status, want)
+}
+
+// job reads a job's id and fields.
+func (w *world) job(f []string) (j wire.Job, run time.Duration, fails bool, err error) {
+	j = wire.Job{ID: f[0], Class: "work", Team: "red", Kind: wire.KindArray, Urgency: "normal", Tasks: 1, CPUs: 1, MemoryGB: 1,
 		Image: "img", ImageGB: 1, Spot: true, EstimateS: 10}
-	run, fails := 10*time.Second, false
+	run = 10 * time.Second
 	for _, kv := range f[1:] {
 		k, v, _ := strings.Cut(kv, "=")
 		switch k {
@@ -134,16 +155,10 @@
 				j.Types = append(j.Types, strings.Repeat("x", min(n, 190)))
 			}
 		default:
-			return fmt.Errorf("unknown field %q", k)
+			return j, run, fails, fmt.Errorf("unknown field %q", k)
 		}
 	}
-	w.referee.Submitted(j, run, fails)
-	code, st, err := w.ask(http.MethodPost, member, wire.PathJobs, j)
-	if err != nil {
-		return err
-	}
-	w.referee.Told(j.ID, code, st.Status)
-	return compare(code, st.Status, want)
+	return j, run, fails, nil
 }
 
 func (w *world) typeNames() []string {
@@ -383,6 +398,8 @@
 		wk.Hang()
 	case "resume":
 		wk.Resume()
+	case "launched": // MACHINE TASK ATTEMPT TOKEN, by an earlier service
+		wk.Launched(f[1], uint64(number(f[2])), uint64(number(f[3])))
 	case "sicken":
 		wk.Sicken()
 	case "die":
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// Launched has the machine hold a task that a controller has launched under a token.
+func (w *Worker) Launched(task string, attempt, token uint64) {
+	w.inbox <- func() {
+		w.obey(wire.Direct{Token: token, Session: w.session, Commands: []wire.Command{{Op: wire.OpStart, Task: task, Attempt: attempt}}})
+	}
+}
+
 // Sicken has the machine fail every task that it starts.
 func (w *Worker) Sicken() { w.inbox <- func() { w.sick = true } }
 
--- /dev/null
+++ b/internal/upgrade/upgrade_test.go
@@ -0,0 +1,324 @@
+// Package upgrade checks that the production version and this one work on each other's data
+// while controllers are upgraded one by one. testdata/production.jsonl was written by the
+// production version: a record or a message a line, as it would have stored or sent it.
+package upgrade
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	"saffronbend/internal/manager"
+	"saffronbend/internal/micros"
+	"saffronbend/internal/peer"
+	"saffronbend/internal/settings"
+	"saffronbend/internal/state"
+	"saffronbend/wire"
+)
+
+// example is a record or a message.
+type example struct {
+	Kind  string          `json:"kind"`
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+}
+
+func production(t *testing.T) []example {
+	f, err := os.Open("testdata/production.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	var out []example
+	for s := bufio.NewScanner(f); s.Scan(); {
+		var e example
+		if err := json.Unmarshal(s.Bytes(), &e); err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// kinds gives, for each kind of record or message, this version's type and production's.
+var kinds = map[string]struct{ now, old func() any }{
+	"leader":       {func() any { return new(state.LeaderRecord) }, func() any { return new(oldLeader) }},
+	"care":         {func() any { return new(state.LeaderRecord) }, func() any { return new(oldLeader) }},
+	"status":       {func() any { return new(state.StatusRecord) }, func() any { return new(oldStatus) }},
+	"open":         {func() any { return new(state.OpenRecord) }, func() any { return new(oldOpen) }},
+	"chunk":        {func() any { return new(state.ChunkRecord) }, func() any { return new(oldChunk) }},
+	"types":        {func() any { return new([]wire.MachineType) }, func() any { return new([]wire.MachineType) }},
+	"update":       {func() any { return new(manager.Update) }, func() any { return new(oldUpdate) }},
+	"asks":         {func() any { return new(peer.Asks) }, func() any { return new(oldAsks) }},
+	"answers":      {func() any { return new(peer.Answers) }, func() any { return new(oldAnswers) }},
+	"relay":        {func() any { return new(peer.Relay) }, func() any { return new(oldRelay) }},
+	"relay_answer": {func() any { return new(peer.RelayAnswer) }, func() any { return new(oldRelayAnswer) }},
+	"announcement": {func() any { return new(peer.Announcement) }, func() any { return new(oldAnnouncement) }},
+	"hire":         {func() any { return new(wire.Hire) }, func() any { return new(wire.Hire) }},
+}
+
+// strictly decodes, knowing every field.
+func strictly(data []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	return d.Decode(into)
+}
+
+func encode(t *testing.T, v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// same fails the test unless two texts say the same.
+func same(t *testing.T, what string, a, b []byte) {
+	var x, y any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil || !reflect.DeepEqual(x, y) {
+		t.Errorf("%s:\n%s\nis not\n%s", what, a, b)
+	}
+}
+
+// This version knows every field that production writes, and loses none.
+func TestReadsProduction(t *testing.T) {
+	seen := map[string]bool{}
+	for _, e := range production(t) {
+		k, ok := kinds[e.Kind]
+		if !ok {
+			if e.Kind != "commit" {
+				t.Errorf("unknown kind %q", e.Kind)
+			}
+			continue
+		}
+		seen[e.Kind] = true
+		v := k.now()
+		if err := strictly(e.Value, v); err != nil {
+			t.Errorf("%s %s: %v", e.Kind, e.Key, err)
+			continue
+		}
+		same(t, "rewritten "+e.Kind, encode(t, v), e.Value)
+		// The frozen statement is production's own.
+		o := k.old()
+		if err := strictly(e.Value, o); err != nil {
+			t.Errorf("frozen %s: %v", e.Kind, err)
+		}
+		same(t, "frozen "+e.Kind, encode(t, o), e.Value)
+	}
+	for kind := range kinds {
+		if !seen[kind] {
+			t.Errorf("no example of %s", kind)
+		}
+	}
+}
+
+// The keys that production uses are ours.
+func TestKeys(t *testing.T) {
+	want := map[string]string{"leader": state.LeaderKey, "types": state.TypesKey}
+	for _, e := range production(t) {
+		switch e.Kind {
+		case "status", "open", "chunk":
+			var id string
+			n := 0
+			if e.Kind == "chunk" {
+				id, n, _ = state.SplitChunkKey(e.Key)
+			} else {
+				id = e.Key[len(e.Key)-len("run-000001"):]
+			}
+			want := map[string]string{"status": state.StatusKey(id), "open": state.OpenKey(id), "chunk": state.ChunkKey(id, n)}[e.Kind]
+			if e.Key != want {
+				t.Errorf("%s has the key %s, ours is %s", e.Kind, e.Key, want)
+			}
+		case "care":
+			if e.Key != state.CareKey("c2", state.CareIsOn(e.Key)) {
+				t.Errorf("care has the key %s", e.Key)
+			}
+		case "leader", "types":
+			if e.Key != want[e.Kind] {
+				t.Errorf("%s has the key %s", e.Kind, e.Key)
+			}
+		}
+	}
+}
+
+const token = 52
+
+func newManager(t *testing.T, limits settings.State, open, chunks []wire.Item) *manager.Manager {
+	m, err := manager.New(1000, manager.Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUs: 4}},
+		Lease: 10 * micros.Second, Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, ListLag: 3 * micros.Second,
+		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, Directs: 20, State: limits}, 1764600000000000, open, chunks, json.Unmarshal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.SetTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 16, Zones: []string{"a", "b"}}})
+	return m
+}
+
+// ours has this version write what it can, from production's jobs and a gang of its own that
+// takes two records.
+func ours(t *testing.T) []example {
+	var out []example
+	put := func(kind, key string, v any) { out = append(out, example{kind, key, encode(t, v)}) }
+	m := newManager(t, settings.State{TxnOps: 4, ValueKB: 2}, nil, nil)
+	gang := wire.Job{ID: "run-000002", Class: "sync", Team: "red", Kind: wire.KindGang, Urgency: "normal", Tasks: 12, CPUs: 1, MemoryGB: 1,
+		Image: "y", ImageGB: 1, OneZone: true, EstimateS: 30, CheckpointS: 20, SaveS: 3}
+	rec := state.OpenRecord{Job: gang, Accepted: 1764600000000000, Chunk: state.ChunkSize(gang.Kind, 2)}
+	put("open", state.OpenKey(gang.ID), rec)
+	put("open", state.OpenKey(gang.ID), rec.Closed(wire.JobCancelled))
+	m.JobChanged(1000, 1764600000000000, rec, 60)
+	seq := uint64(0)
+	report := func(id string, tasks ...wire.TaskReport) {
+		seq++
+		r := &wire.Report{Machine: id, Addr: "10.1.0.2:9000", Type: "small", Zone: "a", Session: 1, Seq: seq, Token: token, Tasks: tasks}
+		m.Report(1000, r, "", true)
+		put("relay", "", peer.Relay{Member: "c2", Token: token, Report: r})
+	}
+	report("n-000001")
+	report("n-000002")
+	asks := peer.Asks{Member: "c2", Token: token, Requests: []manager.Request{{All: true, Asks: []manager.Ask{
+		{Job: gang.ID, Machine: "n-000001", Count: 8, Lease: 30 * micros.Second}, {Job: gang.ID, Machine: "n-000002", Count: 4, Lease: 30 * micros.Second}}}}}
+	put("asks", "", asks)
+	answers := peer.Answers{Version: 2, Results: []manager.Result{m.Grant(1000, asks.Requests[0])}}
+	if answers.Results[0].Granted[1] != 4 {
+		t.Fatalf("the gang was granted %v", answers.Results[0].Granted)
+	}
+	put("answers", "", answers)
+	m.View(1000)
+	put("update", "", m.Update(1000, 0))
+	w := m.NextWrite(1000)
+	for _, c := range w.Changes {
+		put("chunk", c.Key, c.Value)
+	}
+	return out
+}
+
+// Production knows every field of our records, so none is lost when it rewrites one; of our
+// messages it may not know some, and understands what it knows as we do.
+func TestProductionReadsOurs(t *testing.T) {
+	for _, e := range ours(t) {
+		k := kinds[e.Kind]
+		old := k.old()
+		stored := e.Key != ""
+		err := json.Unmarshal(e.Value, old)
+		if stored {
+			old = k.old()
+			err = strictly(e.Value, old)
+		}
+		if err != nil {
+			t.Errorf("%s %s: %v", e.Kind, e.Key, err)
+			continue
+		}
+		rewritten := encode(t, old)
+		if stored {
+			same(t, "rewritten by production: "+e.Kind, rewritten, e.Value)
+		}
+		if err := json.Unmarshal(rewritten, k.now()); err != nil {
+			t.Errorf("%s read back: %v", e.Kind, err)
+		}
+	}
+}
+
+// items gives production's records of a kind as the state service would list them.
+func items(t *testing.T, kind string) []wire.Item {
+	newest := map[string]wire.Item{}
+	for i, e := range production(t) {
+		if e.Kind == kind {
+			newest[e.Key] = wire.Item{Key: e.Key, Value: e.Value, Version: uint64(i + 1)}
+		}
+	}
+	var out []wire.Item
+	for _, it := range newest {
+		out = append(out, it)
+	}
+	return out
+}
+
+// A leader of this version takes over what production has left, under lower limits: the
+// placements that may exist are kept until they are proven gone, done tasks stay done, a
+// cancelled job is not placed.
+func TestTakesOverFromProduction(t *testing.T) {
+	m := newManager(t, settings.State{TxnOps: 4, ValueKB: 1}, items(t, "open"), items(t, "chunk"))
+	grant := func(job, machine string, n int) int {
+		return m.Grant(1000, manager.Request{Asks: []manager.Ask{{Job: job, Machine: machine, Count: n}}}).Granted[0]
+	}
+	seq := uint64(100)
+	report := func(id string, tasks ...wire.TaskReport) []wire.Command {
+		seq++
+		a, _ := m.Report(1000, &wire.Report{Machine: id, Addr: "10.1.0.2:9000", Type: "small", Zone: id[len(id)-1:], Session: 1, Seq: seq, Token: token, Tasks: tasks}, "", true)
+		return a.Commands
+	}
+	report("n-000009a")
+	v := m.View(1000)
+	jobs := map[string]*manager.JobView{}
+	for _, j := range v.Jobs {
+		jobs[j.ID] = j
+	}
+	if j := jobs["run-000001"]; j == nil || j.Done != 1 || j.Active != 4 || j.Waiting != 55 {
+		t.Errorf("array: %+v", j)
+	}
+	if j := jobs["run-000002"]; j == nil || j.Active != 3 || j.Waiting != 0 || !j.Gang {
+		t.Errorf("gang: %+v", j)
+	}
+	if jobs["run-000009"] != nil || grant("run-000009", "n-000009a", 1) != 0 {
+		t.Error("a cancelled job is shown, or placed")
+	}
+	if got := grant("run-000001", "n-000009a", 1); got != 0 {
+		t.Error("placed while it is not known in which zone its other tasks are")
+	}
+	var running []wire.TaskReport
+	for i := range 4 {
+		running = append(running, wire.TaskReport{Task: wire.TaskName("run-000001", i+1), Attempt: 41<<20 | uint64(i+2), State: wire.TaskRunning})
+	}
+	report("n-000001a", running...)
+	if got := grant("run-000001", "n-000009a", 4); got != 4 {
+		t.Errorf("%d of the array's waiting tasks placed", got)
+	}
+	// One machine of the gang has lost its task: the rest is stopped, and begins anew only
+	// when the other machine has reported.
+	if cmds := report("n-000002b"); len(cmds) != 0 {
+		t.Errorf("orders %v", cmds)
+	}
+	attempt := uint64(41<<20 | 6)
+	whole := manager.Request{All: true, Asks: []manager.Ask{{Job: "run-000002", Machine: "n-000002b", Count: 2}, {Job: "run-000002", Machine: "n-000003a", Count: 1}}}
+	if g := m.Grant(1000, whole).Granted[0]; g != 0 {
+		t.Error("the gang is granted while a task of it may run")
+	}
+	cmds := report("n-000003a", wire.TaskReport{Task: "run-000002/2", Attempt: attempt, State: wire.TaskWaiting})
+	if fmt.Sprint(len(cmds)) != "1" || cmds[0].Op != wire.OpStop {
+		t.Errorf("orders %v", cmds)
+	}
+	report("n-000003a", wire.TaskReport{Task: "run-000002/2", Attempt: attempt, State: wire.TaskExited, Why: wire.WhyStopped})
+	if g := m.Grant(1000, whole).Granted; g[0]+g[1] != 3 {
+		t.Errorf("granted %v of the gang", g)
+	}
+}
+
+// Production's scheduler asks this version's leader for a gang as it always has.
+func TestServesProductionsAsks(t *testing.T) {
+	m := newManager(t, settings.State{TxnOps: 8, ValueKB: 4}, items(t, "open"), nil)
+	for i, id := range []string{"n-000001a", "n-000002b", "n-000003a"} {
+		m.Report(1000, &wire.Report{Machine: id, Addr: "10.1.0.2:9000", Type: "small", Zone: id[len(id)-1:], Session: 1, Seq: uint64(i + 1), Token: token}, "", true)
+	}
+	for _, e := range production(t) {
+		if e.Kind != "asks" {
+			continue
+		}
+		var a peer.Asks
+		if err := json.Unmarshal(e.Value, &a); err != nil {
+			t.Fatal(err)
+		}
+		granted := 0
+		for _, r := range a.Requests {
+			for _, n := range m.Grant(1000, r).Granted {
+				granted += n
+			}
+		}
+		if granted != 8 {
+			t.Errorf("%d leases granted, want 5 of the array and 3 of the gang", granted)
+		}
+	}
+}
