--- a/internal/manager/gangs.go
+++ b/internal/manager/gangs.go
@@ -176,7 +176,7 @@
 		}
 	}
 	for _, a := range best {
-		m.makeRoom(now, a, yards, jb.ID)
+		m.makeRoom(now, a, yards, j)
 	}
 	if found {
 		promised[jb.Team] = promised[jb.Team].Plus(need, float64(j.waiting))
--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -65,7 +65,7 @@
 func (m *Manager) grantOne(now micros.Time, ask Ask, made []*attempt) *attempt {
 	j, mc := m.jobs[ask.Job], m.machines[ask.Machine]
 	if j == nil || mc == nil || j.over != "" || j.waiting == 0 || now < j.notBefore || !m.usable(now, mc) ||
-		mc.keep != "" && mc.keep != ask.Job {
+		mc.keep != "" && mc.keep != ask.Job || m.madeForOther(now, mc, j) {
 		return nil
 	}
 	jb := &j.rec.Job
@@ -97,6 +97,17 @@
 	return a
 }
 
+// madeForOther tells whether the room on a machine was made for a more urgent job that has
+// still to take it. Without this the tasks that made room would be back before that job's
+// scheduler has seen the room, again and again.
+func (m *Manager) madeForOther(now micros.Time, mc *machine, j *job) bool {
+	if now >= mc.madeUntil || mc.madeFor == j.rec.Job.ID {
+		return false
+	}
+	o := m.jobs[mc.madeFor]
+	return o != nil && o.over == "" && o.waiting > 0 && o.rec.Job.Priority() > j.rec.Job.Priority()
+}
+
 // nextTask gives an attempt the first of its job's waiting tasks whose record has room for
 // its placement.
 func (m *Manager) nextTask(a *attempt) bool {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -147,10 +147,14 @@
 	// reports alone don't.
 	deaf, probed micros.Time
 	keep         string // the job for which its room is kept
-	shownUsable  bool
-	fails, slow  int
-	attempts     map[string]*attempt // by task
-	strays       map[string]wire.TaskReport
+	// madeFor is the job for which others' tasks were stopped here: until then nothing less
+	// urgent takes the room.
+	madeFor     string
+	madeUntil   micros.Time
+	shownUsable bool
+	fails, slow int
+	attempts    map[string]*attempt // by task
+	strays      map[string]wire.TaskReport
 	// tombs are exited attempts whose direct launch may yet arrive, or arrive again: not
 	// cleared.
 	tombs     map[tombKey]tomb
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -703,6 +703,25 @@
 	}
 }
 
+// The room that a task has made for more urgent work is not its own again before that has had
+// the time to take it.
+func TestRoomMadeIsNotTakenBack(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 4, nil)
+	b.grant("run-1", "n-1-a", 2)
+	b.job("run-2", 1, func(j *wire.Job) { j.Urgency = "high" })
+	b.wait(micros.Second / 2)
+	b.m.cfg.Tuning.PreemptAfter = 0
+	b.m.Preempt(b.now, func() bool { return false })
+	b.want(b.m.jobs["run-1"].waiting, 3)
+	b.want(b.grant("run-1", "n-1-a", 1), 0)
+	b.want(b.grant("run-2", "n-1-a", 1), 1)
+	b.wait(5 * micros.Second)
+	b.up("n-1-a")
+	b.want(b.grant("run-1", "n-1-a", 1), 0) // full
+}
+
 // A machine with many such attempts gets no more direct launches, so that its reports stay
 // short.
 func TestTombsAreBounded(t *testing.T) {
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -128,7 +128,7 @@
 		if victim == nil {
 			return budget
 		}
-		m.makeRoom(now, victim, yards, jb.ID)
+		m.makeRoom(now, victim, yards, j)
 		take(best)
 		if budget--; budget == 0 {
 			return 0
@@ -166,21 +166,24 @@
 
 // makeRoom stops a task, or the whole gang that it belongs to, and books the room that comes
 // free.
-func (m *Manager) makeRoom(now micros.Time, a *attempt, yards []*yard, by string) {
+func (m *Manager) makeRoom(now micros.Time, a *attempt, yards []*yard, by *job) {
+	// taking is how long the job's scheduler may need to see the room and ask for it.
+	const taking = 2 * micros.Second
 	jb := &a.job.rec.Job
-	m.note("task makes room for more urgent work", "task", a.name, "machine", a.machine.id, "for", by)
+	m.note("task makes room for more urgent work", "task", a.name, "machine", a.machine.id, "for", by.rec.Job.ID)
+	grace := 0.0
+	if jb.CheckpointS > 0 {
+		grace = jb.SaveS + 1
+	}
 	freed := []*attempt{a}
 	if a.job.gang != nil {
 		freed = sorted(a.job.active)
 		m.follow(now, a.job, a.job.gang.Stop())
 	} else {
-		grace := 0.0
-		if jb.CheckpointS > 0 {
-			grace = jb.SaveS + 1
-		}
 		m.stop(now, a, grace)
 	}
 	for _, x := range freed {
+		x.machine.madeFor, x.machine.madeUntil = by.rec.Job.ID, now.Add(micros.Seconds(grace)+taking)
 		if i := slices.IndexFunc(yards, func(y *yard) bool { return y.mc == x.machine }); i >= 0 {
 			yards[i].room = yards[i].room.Plus(Need(jb), 1)
 		}
