A gang makes room only for work that has waited ten times as long as usual

Ruled out: loss alone (gangs lose most, but nothing else there can save). Ten times keeps gangs from standing in the way for good.

--- a/internal/manager/gangs.go
+++ b/internal/manager/gangs.go
@@ -140,9 +140,14 @@
 	return true
 }
 
-// worthIt tells whether a job that wants room makes use of half of what a gang would free.
-func worthIt(j, victim *job) bool {
-	return 2*float64(j.waiting)*j.rec.Job.CPUs >= float64(len(victim.active))*victim.rec.Job.CPUs
+// gangPatience is how many times longer than for others' tasks a job waits before a gang
+// makes room for it: a gang that is stopped fetches, gathers and waits anew as a whole.
+const gangPatience = 10
+
+// worthIt tells whether a gang should make room for a job: it has waited long, and makes use
+// of half of what the gang would free.
+func (m *Manager) worthIt(now micros.Time, j, victim *job) bool {
+	return now.Sub(j.waitSince) > gangPatience*m.cfg.Tuning.PreemptAfter && 2*float64(j.waiting)*j.rec.Job.CPUs >= float64(len(victim.active))*victim.rec.Job.CPUs
 }
 
 // mostStops bounds how many tasks are stopped at once for a gang.
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -115,7 +115,7 @@
 				if a.stop || !m.displaces(j, a.job, promised[jb.Team]) {
 					continue
 				}
-				if a.job.gang != nil && !worthIt(j, a.job) {
+				if a.job.gang != nil && !m.worthIt(now, j, a.job) {
 					continue
 				}
 				loss := m.loss(now, a)
