Gangs: launches paced by large images, deaf machines and short notices end an attempt early; orders that were not sent count as such

An order for which no connection came about was never sent, and does not come late, so its launch goes by the next answer and may be cleared. term.go is split by concern.

--- a/internal/manager/gangs.go
+++ b/internal/manager/gangs.go
@@ -14,11 +14,15 @@
 func (m *Manager) follow(now micros.Time, j *job, next gang.Next) {
 	switch next {
 	case gang.Launch:
+		m.pace(j)
 		for _, a := range j.active {
 			m.direct[a.machine.id] = true
 		}
 	case gang.End:
 		for _, a := range sorted(j.active) {
+			if m.silent(now, a.machine) {
+				a.machine.doubtUntil = now.Add(doubtFor) // it may be back soon
+			}
 			m.stop(now, a, 0)
 		}
 	case gang.Save:
@@ -34,6 +38,56 @@
 	}
 }
 
+// pace holds back the launches on machines that have a large image, if others must fetch it:
+// otherwise the first to be there would give up before the last has come, and with them
+// the fetch would be given up, too, again and again.
+func (m *Manager) pace(j *job) {
+	jb := &j.rec.Job
+	var there []*attempt
+	long := false
+	for _, a := range j.active {
+		if im := a.machine.images[jb.Image]; im != nil && im.ready {
+			there = append(there, a)
+		} else if r := a.machine.spec.FetchGBPS; r > 0 && micros.Seconds(jb.ImageGB/r) > m.cfg.GangWait/2 {
+			long = true
+		}
+	}
+	for _, a := range there {
+		a.held = long
+	}
+}
+
+// gathered tells whether the tasks of a gang that had to fetch have their image.
+func (j *job) gathered() bool {
+	for _, a := range j.active {
+		if !a.held && a.state != wire.TaskWaiting && a.state != wire.TaskRunning {
+			return false
+		}
+	}
+	return true
+}
+
+// silent tells whether a machine has not reported when it should have.
+func (m *Manager) silent(now micros.Time, mc *machine) bool {
+	return now.Sub(mc.lastReport) > m.cfg.Report.Scale(1.25)+micros.Second
+}
+
+// endUnheard ends an attempt that has not begun and for which a launch does not come through:
+// its mates would wait for it in vain.
+func (m *Manager) endUnheard(now micros.Time, mc *machine) {
+	if mc.deaf == 0 || now.Sub(mc.deaf) < m.cfg.Report.Scale(1.25)+micros.Second {
+		return
+	}
+	for _, a := range sorted(mc.attempts) {
+		if g := a.job.gang; g != nil && !a.listed && g.Phase() == gang.Launched {
+			m.follow(now, a.job, g.End())
+		}
+	}
+}
+
+// doubtFor is how long a machine is a poor place for gangs after one has failed by its silence.
+const doubtFor = micros.Minute
+
 // rebuilt makes of a gang's records what they say when all have been read. One task that is
 // done proves that all are, whichever record says so: an earlier leader may not have come to
 // write the others.
@@ -50,6 +104,12 @@
 // gangState books that a task of a gang is in another state than before.
 func (m *Manager) gangState(now micros.Time, j *job, state string) {
 	switch state {
+	case wire.TaskWaiting:
+		for _, a := range j.active {
+			if a.held {
+				m.direct[a.machine.id] = true
+			}
+		}
 	case wire.TaskRunning:
 		j.gang.Runs()
 	case wire.TaskSaving:
@@ -84,7 +144,9 @@
 
 // mayLaunch tells whether an attempt may be launched, once it is durable itself: a gang's
 // only when all of them are.
-func (a *attempt) mayLaunch() bool { return a.job.gang == nil || a.job.gang.MayLaunch() }
+func (a *attempt) mayLaunch() bool {
+	return a.job.gang == nil || a.job.gang.MayLaunch() && (!a.held || a.job.gathered())
+}
 
 // gangOf gives the gang that a request is for, if it is for one.
 func (m *Manager) gangOf(req Request) *job {
@@ -132,8 +194,7 @@
 		if mc.directOK && mc.via == "" {
 			late = micros.Second
 		}
-		silent := now.Sub(mc.lastReport) > m.cfg.Report.Scale(1.25)+micros.Second
-		if silent || mc.deaf != 0 || late > m.cfg.GangPeer || mc.notice != 0 && now.Add(late+save) > mc.notice {
+		if m.silent(now, mc) || mc.deaf != 0 || late > m.cfg.GangPeer || mc.notice != 0 && now.Add(late+save) > mc.notice {
 			return false
 		}
 	}
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -144,6 +144,7 @@
 		if mc.notice != 0 {
 			m.vacate(now, mc)
 		}
+		m.endUnheard(now, mc)
 		if m.toProbe(mc) && m.probeDue(now, mc) {
 			m.direct[mc.id] = true
 		}
@@ -226,11 +227,15 @@
 		if now.Add(need) < mc.notice {
 			continue
 		}
-		if a.job.gang != nil {
-			m.follow(now, a.job, a.job.gang.Stop())
-			continue
+		switch g := a.job.gang; {
+		case g == nil:
+			m.stop(now, a, jb.SaveS+1)
+		case m.savesInTime(now, a.job):
+			m.follow(now, a.job, g.Stop())
+		case m.expectedEnd(now, a) > mc.notice:
+			// Its progress since the last checkpoint is lost in any case.
+			m.follow(now, a.job, g.End())
 		}
-		m.stop(now, a, jb.SaveS+1)
 	}
 }
 
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -33,6 +33,8 @@
 	Report micros.Span
 	Margin micros.Span // added to a worker lease before it counts as run out
 	Cancel micros.Span
+	// GangWait is how long a task waits for the others of its gang.
+	GangWait micros.Span
 	// GangPeer is how soon the tasks of a gang notice that one is gone, and how long one that
 	// has saved waits for the others.
 	GangPeer micros.Span
@@ -115,6 +117,7 @@
 	waiter                        string
 	waiterUntil                   micros.Time
 	saved                         bool // has exited after saving
+	held                          bool // launched once its mates have their image
 	stop                          bool
 	stopGrace                     float64
 	stopSent                      micros.Time
@@ -149,8 +152,10 @@
 	keep         string // the job for which its room is kept
 	// madeFor is the job for which others' tasks were stopped here: until then nothing less
 	// urgent takes the room.
-	madeFor     string
-	madeUntil   micros.Time
+	madeFor   string
+	madeUntil micros.Time
+	// doubtUntil: until then a gang has failed lately by its silence.
+	doubtUntil  micros.Time
 	shownUsable bool
 	fails, slow int
 	attempts    map[string]*attempt // by task
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -30,7 +30,7 @@
 
 func newBench(t *testing.T, open, chunks []wire.Item) *bench {
 	m, err := New(1000, Config{Token: token, Teams: []settings.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUs: 4}}, Lease: lease,
-		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, GangPeer: 5 * micros.Second, ListLag: 3 * micros.Second,
+		Report: 2 * micros.Second, Margin: micros.Second, Cancel: 30 * micros.Second, GangWait: 20 * micros.Second, GangPeer: 5 * micros.Second, ListLag: 3 * micros.Second,
 		Tuning: settings.Tuning{FirstLease: 100 * micros.Second}, Directs: 2, State: settings.State{TxnOps: 8, ValueKB: 4}}, 0, open, chunks, json.Unmarshal)
 	if err != nil {
 		t.Fatal(err)
@@ -278,14 +278,14 @@
 	d := b.m.Directs(b.now, true)
 	b.want(len(d), 1)
 	b.want(len(d[0].Body.Commands), 0)
-	b.m.DirectDone(b.now, d[0], false, nil)
+	b.m.DirectDone(b.now, d[0], DirectUnknown, nil)
 	b.want(b.grant("run-1", "n-1-a", 1), 0)
 	b.wait(4 * micros.Second)
 	b.report("n-1-a", token, 3)
 	d = b.m.Directs(b.now, true)
 	b.want(len(d), 1)
 	b.seq++
-	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 3, Seq: b.seq, Token: token})
+	b.m.DirectDone(b.now, d[0], DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 3, Seq: b.seq, Token: token})
 	b.want(b.grant("run-1", "n-1-a", 1), 1)
 }
 
@@ -403,17 +403,27 @@
 	d := b.m.Directs(b.now, true)
 	b.want(len(d), 1)
 	b.want(b.report("n-1-a", token, 1), "") // in flight: neither gone nor repeated
-	b.m.DirectDone(b.now, d[0], false, nil)
+	b.m.DirectDone(b.now, d[0], DirectUnknown, nil)
 	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
 	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended error", first)), "")
 	b.want(b.grant("run-1", "n-1-a", 1), 1)
 }
 
+// A direct launch for which no connection came about was never sent, and no copy of it comes
+// late: it goes by the next answer, and is cleared once it has ended.
+func TestDirectLaunchNotSent(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	b.m.DirectDone(b.now, b.m.Directs(b.now, true)[0], DirectNotSent, nil)
+	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
+	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended error", first)), fmt.Sprintf("clear run-1/0 %d", first))
+}
+
 // The same when the job is cancelled: the late copy must find the attempt known.
 func TestLostDirectLaunchOfCancelledJob(t *testing.T) {
 	b := newBench(t, nil, nil)
 	b.placed()
-	b.m.DirectDone(b.now, b.m.Directs(b.now, true)[0], false, nil)
+	b.m.DirectDone(b.now, b.m.Directs(b.now, true)[0], DirectUnknown, nil)
 	rec := record("run-1", 1, nil)
 	rec.Over = wire.JobCancelled
 	b.rev++
@@ -611,7 +621,7 @@
 	out := b.m.Directs(b.now, true)
 	b.want(len(out), 2)
 	b.want(len(b.m.Directs(b.now, true)), 0)
-	b.m.DirectDone(b.now, out[0], false, nil)
+	b.m.DirectDone(b.now, out[0], DirectUnknown, nil)
 	out = b.m.Directs(b.now, true)
 	b.want(len(out), 1)
 	b.want(out[0].Machine, "n-3-a")
@@ -672,7 +682,7 @@
 	b.placed()
 	d := b.m.Directs(b.now, true)[0]
 	b.seq++
-	b.m.DirectDone(b.now, d, true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token,
+	b.m.DirectDone(b.now, d, DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token,
 		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}}})
 	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended halted", first)), "")
 	b.want(b.grant("run-1", "n-1-a", 1), 1)
@@ -690,7 +700,7 @@
 		b.write()
 		d := b.m.Directs(b.now, true)[0]
 		b.seq++
-		b.m.DirectDone(b.now, d, true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token,
+		b.m.DirectDone(b.now, d, DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token,
 			Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}, {Task: "run-1/1", Attempt: first + 1, State: wire.TaskRunning}}})
 		done := fmt.Sprintf("run-1/0 %d ended done", first)
 		b.report("n-1-a", token, 1, done, fmt.Sprintf("run-1/1 %d running", first+1))
@@ -749,7 +759,7 @@
 	d := b.m.Directs(b.now, true) // asked at once
 	b.want(len(d), 1)
 	b.want(len(d[0].Body.Commands), 0)
-	b.m.DirectDone(b.now, d[0], false, nil)
+	b.m.DirectDone(b.now, d[0], DirectUnknown, nil)
 	b.want(len(b.m.Directs(b.now, true)), 0)
 	b.want(b.m.SendBack(b.now, "n-1-a"), false)
 	// The answer did not come through as far as the report shows, but the worker has stayed
@@ -763,7 +773,7 @@
 	d = b.m.Directs(b.now, true)
 	b.want(len(d), 1)
 	b.seq++
-	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token})
+	b.m.DirectDone(b.now, d[0], DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token})
 	b.want(b.m.SendBack(b.now, "n-1-a"), true)
 	// It is back with the other controller: our orders reach it, its reports don't reach us.
 	passed()
@@ -802,7 +812,7 @@
 	b.want(len(d[0].Body.Commands), 0)
 	// An earlier leader may have renewed its lease until now.
 	b.wait(9 * micros.Second)
-	b.m.DirectDone(b.now, d[0], true, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 3, Seq: 9, Token: token,
+	b.m.DirectDone(b.now, d[0], DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 3, Seq: 9, Token: token,
 		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: 99, State: wire.TaskRunning}}})
 	b.wait(lease)
 	b.tick()
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -157,9 +157,19 @@
 	return now.Sub(mc.deaf) >= patience && (mc.probed == 0 || now.Sub(mc.probed) >= pause)
 }
 
-// DirectDone takes the outcome of a direct order: executed or refused with the
-// worker's report, or unknown when there is none.
-func (m *Manager) DirectDone(now micros.Time, d Direct, executed bool, r *wire.Report) (deposed bool) {
+// DirectOutcome is what is known of a direct order.
+type DirectOutcome int
+
+// Outcomes. Of an executed or refused order there is the worker's report.
+const (
+	DirectUnknown DirectOutcome = iota // it may yet be carried out
+	DirectNotSent                      // it was not sent, and will not be
+	DirectRefused
+	DirectExecuted
+)
+
+// DirectDone takes the outcome of a direct order, and the worker's report if there is one.
+func (m *Manager) DirectDone(now micros.Time, d Direct, out DirectOutcome, r *wire.Report) (deposed bool) {
 	m.directs--
 	mc := m.machines[d.Machine]
 	if mc == nil {
@@ -173,10 +183,13 @@
 				continue
 			}
 			a.directOut = false
-			if r == nil {
+			switch out {
+			case DirectUnknown:
 				a.directLost = true
-			} else if executed {
+			case DirectExecuted:
 				a.sentSeq = max(a.sentSeq, 1)
+			case DirectNotSent:
+				a.direct = false
 			}
 		}
 	}
@@ -192,7 +205,7 @@
 			mc.probed = 0 // if that was the wrong session, the right one is known now
 		}
 		m.take(now, r, false)
-		if executed && mc.session == d.Body.Session {
+		if out == DirectExecuted && mc.session == d.Body.Session {
 			m.heard(mc)
 			m.touchMachine(mc)
 		}
--- a/internal/manager/show.go
+++ b/internal/manager/show.go
@@ -199,7 +199,7 @@
 		State: mc.state, Failed: mc.state == wire.MachineFailed, Deleting: mc.deleting,
 		Suspect: mc.suspect, Missing: m.missing(mc), Born: mc.born, Heard: mc.lastHeard, Deaf: mc.deaf}
 	mc.shownUsable = mv.Usable
-	mv.Doubt = mc.fails > 0 || mc.slow > 0
+	mv.Doubt = mc.fails > 0 || mc.slow > 0 || now < mc.doubtUntil
 	mv.Space = m.free(mc)
 	// A machine that has just come up reports twice before it is usable: the second
 	// time it has our token.
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -52,8 +52,8 @@
 	Spot   bool   `json:"s,omitempty"`
 	Usable bool   `json:"u,omitempty"` // takes new tasks now
 	Space         // free
-	// Doubt says that the last task here failed or ran far too slowly: a poor place for one of a
-	// gang's tasks, which all run at the speed of the slowest.
+	// Doubt says that the last task here failed or ran far too slowly, or that a gang has just
+	// failed by its silence: a poor place for one of a gang's tasks.
 	Doubt bool `json:"d,omitempty"`
 	// Keep names the job that waits longest and for which the machine's room is kept.
 	Keep   string   `json:"k,omitempty"`
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -152,7 +152,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, fmt.Errorf("dial %s: %w", addr, ctx.Err())
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("%s: %w", addr, ctx.Err())}
 		case <-wait:
 		}
 	}
@@ -162,7 +162,7 @@
 	n := h.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	refused := fmt.Errorf("dial %s: %w", addr, syscall.ECONNREFUSED)
+	refused := &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("%s: %w", addr, syscall.ECONNREFUSED)}
 	ip, _, err := net.SplitHostPort(addr)
 	if err != nil {
 		return nil, nil, err
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -54,13 +56,21 @@
 		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}}
 }
 
-// Do sends orders. An error means that their outcome is unknown: they may take effect
+// ErrNotSent says that orders were not sent, and will not be: no connection came about, and
+// one that was given up does not come about later.
+var ErrNotSent = errors.New("no connection to the worker")
+
+// Do sends orders. An error other than ErrNotSent means that their outcome is unknown: they may take effect
 // at any time while token and session are the worker's.
 func (c *Client) Do(ctx context.Context, addr string, d wire.Direct) (executed bool, r *wire.Report, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	status, body, err := call.JSON(ctx, c.http, http.MethodPost, "http://"+addr+wire.PathCommands, d)
-	if err != nil {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return false, nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	case err != nil:
 		return false, nil, fmt.Errorf("worker: %w", err)
 	}
 	if status != http.StatusOK && status != http.StatusConflict {
--- /dev/null
+++ b/renting.go
@@ -0,0 +1,112 @@
+package saffronbend
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"saffronbend/internal/cloud"
+	"saffronbend/internal/manager"
+	"saffronbend/internal/micros"
+	"saffronbend/wire"
+)
+
+// This file is the part of a term that speaks with the cloud.
+
+// watchCloud reads the machine list again and again.
+func (t *term) watchCloud(ctx context.Context) {
+	often := max(micros.Second, micros.Seconds(4/t.n.set.Deployment.Cloud.RPS))
+	seldom := max(often, micros.Seconds(t.n.set.Deployment.Cloud.ListLagS))
+	for {
+		list, err := t.n.cloud.List(ctx)
+		if err == nil {
+			t.post(ctx, func(now micros.Time) { t.mgr.Listed(now, list) })
+		} else {
+			t.n.log.Debug("the cloud's list can't be read", "err", err)
+		}
+		// A machine that has fallen silent may have been taken: the list tells soonest.
+		every := seldom
+		if t.silent.Load() {
+			every = often
+		}
+		if !sleep(ctx, every) {
+			return
+		}
+	}
+}
+
+// watchPrices reads types and prices, and stores the types for controllers that start
+// while the cloud does not answer.
+func (t *term) watchPrices(ctx context.Context) {
+	n := t.n
+	stored := false
+	for {
+		types, err := n.cloud.Types(ctx)
+		if err == nil && len(types) > 0 {
+			n.types.Store(&types)
+			t.post(ctx, func(micros.Time) {
+				t.mgr.SetTypes(types)
+				t.fleet.SetTypes(types)
+			})
+			if !stored {
+				stored = t.storeTypes(ctx, types)
+			}
+		}
+		every := 30 * micros.Second
+		if err != nil {
+			every = 2 * micros.Second
+		}
+		if !sleep(ctx, every) {
+			return
+		}
+	}
+}
+
+// manage has the fleet decide, and carries out what it wants.
+func (t *term) manage(ctx context.Context, now micros.Time, v *manager.View) {
+	n := t.n
+	acts := t.fleet.Handle(now, v)
+	for _, note := range acts.Notes {
+		n.log.Info("returning a machine", "machine", note.Machine, "why", note.Why)
+	}
+	for _, h := range acts.Hires {
+		n.log.Info("renting machines", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count)
+		n.start(func() { t.hire(ctx, h) })
+	}
+	for ids := range slices.Chunk(acts.Return, 100) {
+		t.mgr.Deleting(ids)
+		n.start(func() { t.remove(ctx, ids) })
+	}
+}
+
+// hire repeats a request until its outcome is known; a request is never reused for
+// anything else.
+func (t *term) hire(ctx context.Context, h wire.Hire) {
+	for {
+		names, err := t.n.cloud.Hire(ctx, h)
+		if err == nil || errors.Is(err, cloud.ErrNoCapacity) {
+			t.n.log.Debug("hire answered", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "wanted", h.Count, "got", len(names))
+			t.post(ctx, func(now micros.Time) {
+				t.mgr.Hired(now, h, names)
+				t.fleet.Hired(now, h, len(names))
+			})
+			return
+		}
+		if !sleep(ctx, micros.Second) {
+			return
+		}
+	}
+}
+
+// remove repeats a deletion until it has been carried out.
+func (t *term) remove(ctx context.Context, ids []string) {
+	for {
+		if err := t.n.cloud.Delete(ctx, ids); err == nil {
+			t.post(ctx, func(now micros.Time) { t.mgr.Deleted(now, ids) })
+			return
+		}
+		if !sleep(ctx, micros.Second) {
+			return
+		}
+	}
+}
--- a/term.go
+++ b/term.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"saffronbend/internal/cloud"
 	"saffronbend/internal/fleet"
 	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
 	"saffronbend/internal/state"
+	"saffronbend/internal/worker"
 	"saffronbend/wire"
 )
 
@@ -124,7 +124,7 @@
 		if err == nil {
 			now := n.clock.Now()
 			t.mgr, err = manager.New(now, manager.Config{Token: t.token, Teams: d.Teams, Lease: n.set.Lease(),
-				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS), GangPeer: n.set.GangPeer(), ListLag: micros.Seconds(d.Cloud.ListLagS),
+				Report: micros.Seconds(d.Workers.ReportS), Margin: micros.Second, Cancel: micros.Seconds(d.Workers.CancelS), GangWait: n.set.GangWait(), GangPeer: n.set.GangPeer(), ListLag: micros.Seconds(d.Cloud.ListLagS),
 				Tuning: n.set.Tuning, Directs: max(4, d.Limits.MaxConnections/16), State: d.State.Within()},
 				n.clock.Wall(), open, chunks, json.Unmarshal)
 			if err != nil {
@@ -372,7 +372,7 @@
 				n.log.Debug("direct order without an answer", "machine", d.Machine, "err", err)
 			}
 			t.post(ctx, func(now micros.Time) {
-				if t.mgr.DirectDone(now, d, executed, r) {
+				if t.mgr.DirectDone(now, d, outcomeOf(executed, err), r) {
 					n.start(func() { t.depose("a worker has seen a higher token") })
 				}
 			})
@@ -380,260 +380,15 @@
 	}
 }
 
-// write carries out one transaction under the leader's key, until its outcome is
-// known. Writes follow one another, so at most one has an unknown outcome.
-func (t *term) write(ctx context.Context, w *manager.Write) {
-	n := t.n
-	txn := wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: t.token}}}
-	largest := 0
-	for _, c := range w.Changes {
-		txn.If = append(txn.If, wire.Cond{Key: c.Key, Version: c.Version})
-		if c.Value == nil {
-			txn.Then = append(txn.Then, wire.Change{Delete: c.Key})
-			continue
-		}
-		value, err := json.Marshal(c.Value)
-		if err != nil {
-			n.log.Error("a record can't be encoded", "key", c.Key, "err", err)
-			t.depose("a record can't be encoded")
-			return
-		}
-		txn.Then = append(txn.Then, wire.Change{Put: c.Key, Value: value})
-		largest = max(largest, len(value))
-	}
-	for wait := 20 * micros.Millisecond; ; wait = min(2*wait, 500*micros.Millisecond) {
-		revision, err := n.state.Txn(ctx, txn)
-		var conflict *state.Conflict
-		switch {
-		case err == nil:
-			n.served()
-			t.post(ctx, func(now micros.Time) { t.mgr.Written(now, w.ID, revision) })
-			return
-		case errors.As(err, &conflict):
-			if slices.Contains(conflict.Failed, state.LeaderKey) {
-				t.depose("the leader's key has changed")
-				return
-			}
-			if t.resolve(ctx, w) {
-				return
-			}
-		case errors.Is(err, state.ErrRefused):
-			// It has lower limits now than the settings say. The same would be refused for ever.
-			keys := make([]string, len(w.Changes))
-			for i, c := range w.Changes {
-				keys[i] = c.Key
-			}
-			t.post(ctx, func(now micros.Time) {
-				if !t.mgr.WriteRefused(now, w, largest) {
-					n.log.Error("the state service refuses a write that can't be made smaller", "keys", keys, "bytes", largest, "err", err)
-				}
-			})
-			return
-		}
-		n.log.Debug("a write has to be repeated", "err", err)
-		if !sleep(ctx, wait) {
-			return
-		}
-	}
-}
-
-// resolve finds out why a write's conditions failed though we lead: an earlier try of
-// it came through, or a user has cancelled a job that it was to complete.
-func (t *term) resolve(ctx context.Context, w *manager.Write) bool {
-	n := t.n
-	for _, c := range w.Changes {
-		it, err := n.state.Get(ctx, c.Key)
-		if err != nil {
-			return false
-		}
-		version := uint64(0)
-		if it != nil {
-			version = it.Version
-		}
-		if version == c.Version {
-			continue
-		}
-		var done state.StatusRecord
-		var chunk state.ChunkRecord
-		switch {
-		case c.Mark != "" && it != nil && json.Unmarshal(it.Value, &chunk) == nil && chunk.Write == c.Mark,
-			c.Value == nil && it == nil,
-			c.Value == any(state.StatusRecord{Status: wire.JobDone}) && it != nil &&
-				json.Unmarshal(it.Value, &done) == nil && done.Status == wire.JobDone:
-			if it == nil {
-				// A deletion leaves no version behind; any later one will do.
-				version = c.Version + 1
-			}
-			t.post(ctx, func(now micros.Time) { t.mgr.Written(now, w.ID, version) })
-			return true
-		case c.Mark == "" && it != nil:
-			t.post(ctx, func(now micros.Time) { t.mgr.WriteConflict(now, w.ID) })
-			return true
-		}
-		t.depose("a record of ours has been changed by another")
-		return true
-	}
-	return false
-}
-
-// watchJobs follows the open records.
-func (t *term) watchJobs(ctx context.Context, from uint64) {
-	n := t.n
-	const block = 4 * time.Second
-	for ctx.Err() == nil {
-		r, err := n.state.Watch(ctx, state.OpenPrefix, from, block)
-		if errors.Is(err, state.ErrCompacted) {
-			var items []wire.Item
-			if items, from, err = n.state.List(ctx, state.OpenPrefix); err == nil {
-				for _, it := range items {
-					t.openChanged(ctx, it.Value, it.Version)
-				}
-				continue
-			}
-		}
-		if err != nil {
-			if !sleep(ctx, 100*micros.Millisecond) {
-				return
-			}
-			continue
-		}
-		n.served()
-		from = r.Revision
-		for _, ev := range r.Events {
-			if ev.Delete != "" {
-				id := ev.Delete[len(state.OpenPrefix):]
-				t.post(ctx, func(micros.Time) { t.mgr.JobRemoved(id) })
-				continue
-			}
-			t.openChanged(ctx, ev.Value, ev.Version)
-		}
-	}
-}
-
-func (t *term) openChanged(ctx context.Context, value json.RawMessage, version uint64) {
-	var rec state.OpenRecord
-	if err := json.Unmarshal(value, &rec); err != nil {
-		t.n.log.Error("an open record can't be read", "err", err)
-		return
-	}
-	t.post(ctx, func(now micros.Time) { t.mgr.JobChanged(now, t.n.clock.Wall(), rec, version) })
-}
-
-// readCare reads who renews worker leases in our stead.
-func (t *term) readCare(ctx context.Context) {
-	sent := t.n.clock.Now()
-	items, _, err := t.n.state.List(ctx, state.CarePrefix)
-	if err != nil {
-		t.n.log.Debug("the caretakers' records can't be read", "err", err)
-		return
-	}
-	t.post(ctx, func(now micros.Time) { t.mgr.Care(now, sent, items) })
-}
-
-// watchCloud reads the machine list again and again.
-func (t *term) watchCloud(ctx context.Context) {
-	often := max(micros.Second, micros.Seconds(4/t.n.set.Deployment.Cloud.RPS))
-	seldom := max(often, micros.Seconds(t.n.set.Deployment.Cloud.ListLagS))
-	for {
-		list, err := t.n.cloud.List(ctx)
-		if err == nil {
-			t.post(ctx, func(now micros.Time) { t.mgr.Listed(now, list) })
-		} else {
-			t.n.log.Debug("the cloud's list can't be read", "err", err)
-		}
-		// A machine that has fallen silent may have been taken: the list tells soonest.
-		every := seldom
-		if t.silent.Load() {
-			every = often
-		}
-		if !sleep(ctx, every) {
-			return
-		}
-	}
-}
-
-// watchPrices reads types and prices, and stores the types for controllers that start
-// while the cloud does not answer.
-func (t *term) watchPrices(ctx context.Context) {
-	n := t.n
-	stored := false
-	for {
-		types, err := n.cloud.Types(ctx)
-		if err == nil && len(types) > 0 {
-			n.types.Store(&types)
-			t.post(ctx, func(micros.Time) {
-				t.mgr.SetTypes(types)
-				t.fleet.SetTypes(types)
-			})
-			if !stored {
-				stored = t.storeTypes(ctx, types)
-			}
-		}
-		every := 30 * micros.Second
-		if err != nil {
-			every = 2 * micros.Second
-		}
-		if !sleep(ctx, every) {
-			return
-		}
-	}
-}
-
-func (t *term) storeTypes(ctx context.Context, types []wire.MachineType) bool {
-	value, err := json.Marshal(types)
-	if err != nil || float64(len(value)) > t.n.set.Deployment.State.Within().ValueKB*1024 {
-		return true // too many to store: the cloud has to be asked
-	}
-	_, err = t.n.state.Txn(ctx, wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: t.token}},
-		Then: []wire.Change{{Put: state.TypesKey, Value: value}}})
-	return err == nil
-}
-
-// manage has the fleet decide, and carries out what it wants.
-func (t *term) manage(ctx context.Context, now micros.Time, v *manager.View) {
-	n := t.n
-	acts := t.fleet.Handle(now, v)
-	for _, note := range acts.Notes {
-		n.log.Info("returning a machine", "machine", note.Machine, "why", note.Why)
-	}
-	for _, h := range acts.Hires {
-		n.log.Info("renting machines", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count)
-		n.start(func() { t.hire(ctx, h) })
-	}
-	for ids := range slices.Chunk(acts.Return, 100) {
-		t.mgr.Deleting(ids)
-		n.start(func() { t.remove(ctx, ids) })
-	}
-}
-
-// hire repeats a request until its outcome is known; a request is never reused for
-// anything else.
-func (t *term) hire(ctx context.Context, h wire.Hire) {
-	for {
-		names, err := t.n.cloud.Hire(ctx, h)
-		if err == nil || errors.Is(err, cloud.ErrNoCapacity) {
-			t.n.log.Debug("hire answered", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "wanted", h.Count, "got", len(names))
-			t.post(ctx, func(now micros.Time) {
-				t.mgr.Hired(now, h, names)
-				t.fleet.Hired(now, h, len(names))
-			})
-			return
-		}
-		if !sleep(ctx, micros.Second) {
-			return
-		}
-	}
-}
-
-// remove repeats a deletion until it has been carried out.
-func (t *term) remove(ctx context.Context, ids []string) {
-	for {
-		if err := t.n.cloud.Delete(ctx, ids); err == nil {
-			t.post(ctx, func(now micros.Time) { t.mgr.Deleted(now, ids) })
-			return
-		}
-		if !sleep(ctx, micros.Second) {
-			return
-		}
-	}
+// outcomeOf tells what is known of a direct order.
+func outcomeOf(executed bool, err error) manager.DirectOutcome {
+	switch {
+	case executed:
+		return manager.DirectExecuted
+	case errors.Is(err, worker.ErrNotSent):
+		return manager.DirectNotSent
+	case err != nil:
+		return manager.DirectUnknown
+	}
+	return manager.DirectRefused
 }
