--- a/elect.go
+++ b/elect.go
@@ -93,6 +93,7 @@
 	}
 	d.following, d.token = member, token
 	n.role.Store(&role{leader: member})
+	n.setShares(leading)
 	switch {
 	case member == "":
 	case leading:
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -192,8 +192,10 @@
 	orphans  []Change
 	writeOut *batch
 	writeNo  uint64
-	notes    []Note
-	arrivals uint64
+	// writeTook is how long the last write took.
+	writeTook micros.Span
+	notes     []Note
+	arrivals  uint64
 	// preemptFrom is the job with which displacement goes on.
 	preemptFrom string
 	spent       spending
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -17,6 +18,7 @@
 
 type batch struct {
 	id       uint64
+	began    micros.Time
 	chunks   []dirtyChunk
 	attempts []*attempt
 	done     []doneTask
@@ -153,17 +155,26 @@
 		return nil
 	}
 	m.writeNo++
+	b.began = now
 	m.writeOut = b
 	return w
 }
 
 // gather is how long progress may wait for more of it in the same chunk. A leader that
-// ends meanwhile loses nothing: workers go on listing what ended until it is cleared.
-const gather = 2 * micros.Second
+// ends meanwhile loses nothing: workers go on listing what ended until it is cleared. Where
+// writes take long, as when few changes a second are allowed, progress makes way for the
+// launches and the results that people wait for.
+const gather, mostGather, writesPerGather = 2 * micros.Second, 15 * micros.Second, 10
+
+func (m *Manager) gathering() micros.Span {
+	return min(mostGather, max(gather, writesPerGather*m.writeTook))
+}
 
 // writeChunks adds progress to a write: first what launches wait for, then, while no
 // transaction is worth keeping free for them, what has waited long enough.
 func (m *Manager) writeChunks(now micros.Time, b *batch, w *Write, maxOps int, mark string) {
+	gather := m.gathering()
+	m.urgentFirst(now, maxOps)
 	for _, launches := range []bool{true, false} {
 		rest := m.dirty[:0]
 		for _, d := range m.dirty {
@@ -186,6 +197,26 @@
 	}
 }
 
+// urgentFirst orders the records to be written by how urgent their jobs are, if not all can be
+// written at once. What has waited long goes first.
+func (m *Manager) urgentFirst(now micros.Time, maxOps int) {
+	const long = 30 * micros.Second
+	if len(m.dirty) <= maxOps {
+		return
+	}
+	rank := func(d dirtyChunk) int {
+		j := m.jobs[d.job]
+		switch {
+		case j == nil:
+			return 0
+		case now.Sub(j.chunks[d.chunk].since) > long:
+			return -1000
+		}
+		return -int(j.rec.Job.Priority())
+	}
+	slices.SortStableFunc(m.dirty, func(a, b dirtyChunk) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 func (m *Manager) chunkChange(b *batch, j *job, d dirtyChunk, mark string) Change {
 	c := j.chunks[d.chunk]
 	c.dirty, c.launch = false, false
@@ -235,6 +266,7 @@
 	if b == nil {
 		return
 	}
+	m.writeTook = now.Sub(b.began)
 	for _, d := range b.chunks {
 		if j := m.jobs[d.job]; j != nil {
 			j.chunks[d.chunk].version = revision
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -38,6 +39,10 @@
 	watch  *http.Client
 	reqs   *rate.Limiter
 	writes *rate.Limiter
+	mu     sync.Mutex
+	share  float64 // of the changes a second, by the settings
+	// lowered is when there were last too many for the service.
+	lowered time.Time
 }
 
 // New makes a client, which changes nothing before SetWriteShare has said how much it may.
@@ -58,10 +63,31 @@
 
 // SetWriteShare changes how many changes a second this controller may make.
 func (c *Client) SetWriteShare(writeRPS float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.share = writeRPS
 	c.writes.SetLimit(rate.Limit(writeRPS))
 	c.writes.SetBurst(burst(writeRPS))
 }
 
+// adapt makes fewer changes a second while the service says that they are too many: it may
+// allow less than the settings say. A share of it remains for others then, and what is
+// refused comes sooner.
+func (c *Client) adapt(tooMany bool) {
+	const least, down, up, pause = 0.25, 0.9, 1.03, time.Second
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := float64(c.writes.Limit())
+	switch {
+	case !tooMany:
+		now = min(c.share, up*now)
+	case time.Since(c.lowered) > pause: // not for every repetition of the same request
+		now = max(least*c.share, down*now)
+		c.lowered = time.Now()
+	}
+	c.writes.SetLimit(rate.Limit(now))
+}
+
 // burst lets a second's worth through at once, and the changes of a submission in any case.
 // The service allows a second's worth, too, to all controllers together.
 func burst(writeRPS float64) int { return max(4, int(writeRPS)) }
@@ -154,6 +180,9 @@
 	}
 	var r wire.TxnResult
 	code, err := c.do(ctx, 1500*time.Millisecond, http.MethodPost, "/txn", t, &r)
+	if len(t.Then) > 0 && (code == http.StatusTooManyRequests || code == http.StatusOK) {
+		c.adapt(code != http.StatusOK)
+	}
 	switch {
 	case err != nil:
 		return 0, err
--- a/node.go
+++ b/node.go
@@ -90,7 +90,7 @@
 		state:   state.New(network.Dial, set.Services.State, set.Share(d.State.Within().RPS)),
 		cloud:   cloud.New(network.Dial, set.Services.Cloud, set.Share(d.Cloud.RPS)),
 		workers: worker.NewClient(network.Dial)}
-	n.state.SetWriteShare(n.followerWrites())
+	n.setShares(false)
 	n.role.Store(&role{})
 	n.placer = newPlacer(n)
 	n.elector = newElector(n)
@@ -132,15 +132,22 @@
 	return nil
 }
 
-// leaderShare is the leader's part of the changes a second that the state service takes: it
-// does nearly all the writing. The others share the rest.
-const leaderShare = 0.6
-
-// followerWrites is how many changes a second this controller may make while it does not
-// lead: for submissions and cancellations.
-func (n *Node) followerWrites() float64 {
-	others := max(1, n.set.Deployment.Nodes-1, len(n.set.Peers))
-	return n.set.Deployment.State.Within().WriteRPS * (1 - leaderShare) / float64(others)
+// setShares says what this controller may ask of the state service and the cloud. The leader
+// does nearly all the writing and all the renting; the others share the rest, for submissions
+// and cancellations. The election's goroutine alone says so: a term that is over while the
+// next has begun must not take that one's share away.
+func (n *Node) setShares(leading bool) {
+	const writes, calls = 0.75, 0.7
+	d := &n.set.Deployment
+	limit := d.State.Within().WriteRPS
+	if leading {
+		n.state.SetWriteShare(limit * writes)
+		n.cloud.SetShare(d.Cloud.RPS * calls)
+		return
+	}
+	others := max(1, d.Nodes-1, len(n.set.Peers))
+	n.state.SetWriteShare(limit * (1 - writes) / float64(others))
+	n.cloud.SetShare(n.set.Share(d.Cloud.RPS) / 3)
 }
 
 func (n *Node) start(f func()) {
--- a/term.go
+++ b/term.go
@@ -59,15 +59,7 @@
 
 func (t *term) run(ctx context.Context) {
 	n := t.n
-	d := &n.set.Deployment
 	defer close(t.done)
-	// The leader does nearly all the writing and all the renting.
-	limits := d.State.Within()
-	n.state.SetWriteShare(limits.WriteRPS * leaderShare)
-	n.cloud.SetShare(d.Cloud.RPS * 0.7)
-	defer n.state.SetWriteShare(n.followerWrites())
-	defer n.cloud.SetShare(n.set.Share(d.Cloud.RPS) / 3)
-
 	from, ok := t.load(ctx)
 	if !ok {
 		return
