--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -12,6 +12,11 @@
 	if j := m.gangOf(req); j != nil && !m.mayGrant(j, req) {
 		return res
 	}
+	if len(req.Asks) > 0 {
+		if j := m.jobs[req.Asks[0].Job]; j != nil && m.backlogged(now, j) {
+			return res
+		}
+	}
 	for i, ask := range req.Asks {
 		if ask.Wait != 0 {
 			if m.grantWait(now, ask) {
--- a/internal/manager/limits_test.go
+++ b/internal/manager/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"saffronbend/internal/micros"
 	"saffronbend/internal/settings"
 	"saffronbend/internal/state"
 	"saffronbend/wire"
@@ -136,3 +137,33 @@
 
 // small makes a job's tasks so small that hundreds fit on a machine.
 func small(j *wire.Job) { j.CPUs, j.MemoryGB = 0.1, 0.1 }
+
+// While more records with launches wait than can be written in a few seconds, nothing new is
+// promised, the less urgent the sooner; a job that has waited long is the last to be refused.
+func TestNothingPromisedBeyondWhatCanBeWritten(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.m.limits = newLimits(settings.State{ValueKB: 4, TxnOps: 2})
+	b.m.cfg.Tuning.KeepAfter = 45 * micros.Second
+	b.up("n-1-a", "n-2-a", "n-3-a")
+	for i := range 40 {
+		b.job(fmt.Sprintf("run-%d", i), 1, func(j *wire.Job) {
+			small(j)
+			if i%2 == 1 {
+				j.Urgency = "high"
+			}
+		})
+	}
+	b.m.writeTook = micros.Second
+	granted := map[int]int{}
+	for i := range 40 {
+		granted[i%2] += b.grant(fmt.Sprintf("run-%d", i), "n-1-a", 1)
+	}
+	// Two changes a second: 8 records are 4 s of them for normal work, 12 are 6 s for urgent.
+	b.want(granted[0], 5)
+	b.want(granted[0]+granted[1], 13)
+	b.wait(46 * micros.Second)
+	b.up("n-1-a", "n-2-a")
+	b.want(b.grant("run-38", "n-2-a", 1), 1)
+	b.write()
+	b.want(b.grant("run-36", "n-2-a", 1), 1)
+}
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -174,7 +174,7 @@
 // transaction is worth keeping free for them, what has waited long enough.
 func (m *Manager) writeChunks(now micros.Time, b *batch, w *Write, maxOps int, mark string) {
 	gather := m.gathering()
-	m.urgentFirst(now, maxOps)
+	m.urgentFirst(maxOps)
 	for _, launches := range []bool{true, false} {
 		rest := m.dirty[:0]
 		for _, d := range m.dirty {
@@ -197,26 +197,52 @@
 	}
 }
 
-// urgentFirst orders the records to be written by how urgent their jobs are, if not all can be
-// written at once. What has waited long goes first.
-func (m *Manager) urgentFirst(now micros.Time, maxOps int) {
-	const long = 30 * micros.Second
+// headStart is by how much earlier a record counts as changed for each step of its job's
+// priority, when not all that are due can be written at once.
+const headStart = 10 * micros.Second
+
+// urgentFirst orders the records to be written by how urgent their jobs are and how long they
+// have waited, if not all can be written at once.
+func (m *Manager) urgentFirst(maxOps int) {
 	if len(m.dirty) <= maxOps {
 		return
 	}
-	rank := func(d dirtyChunk) int {
+	rank := func(d dirtyChunk) micros.Time {
 		j := m.jobs[d.job]
-		switch {
-		case j == nil:
+		if j == nil {
 			return 0
-		case now.Sub(j.chunks[d.chunk].since) > long:
-			return -1000
 		}
-		return -int(j.rec.Job.Priority())
+		return j.chunks[d.chunk].since.Add(-headStart * micros.Span(j.rec.Job.Priority()))
 	}
 	slices.SortStableFunc(m.dirty, func(a, b dirtyChunk) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
+// backlogged tells whether more records with launches wait to be written than can be in a few
+// seconds, so that nothing new is to be promised to a job: the more urgent it is, or if it has
+// waited long, the later. What can't be written for long would only hold room, and jobs that
+// are placed bit by bit take a write for each bit.
+func (m *Manager) backlogged(now micros.Time, j *job) bool {
+	const patience, overdue = 2 * micros.Second, 5
+	if m.writeTook <= 0 {
+		return false
+	}
+	times := 1 + micros.Span(j.rec.Job.Priority())
+	if now.Sub(j.waitSince) > m.cfg.Tuning.KeepAfter {
+		times = overdue
+	}
+	most := int(patience*times/m.writeTook) * m.limits.ops
+	if len(m.dirty) <= most {
+		return false
+	}
+	launches := 0
+	for _, d := range m.dirty {
+		if j := m.jobs[d.job]; j != nil && j.chunks[d.chunk].launch {
+			launches++
+		}
+	}
+	return launches > most
+}
+
 func (m *Manager) chunkChange(b *batch, j *job, d dirtyChunk, mark string) Change {
 	c := j.chunks[d.chunk]
 	c.dirty, c.launch = false, false
