--- a/cmd/saffronbend/main.go
+++ b/cmd/saffronbend/main.go
@@ -21,7 +21,7 @@
 )
 
 // version is the release's number.
-const version = "0.1.0"
+const version = "0.2.0"
 
 type cli struct {
 	Config  string           `help:"The platform's settings file (TOML)." placeholder:"FILE"`
