--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -732,6 +732,17 @@
 	b.want(b.grant("run-1", "n-1-a", 1), 0) // full
 }
 
+// States and reasons that we don't know: the task counts as there, or as ended without a result.
+func TestUnknownWords(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	b.report("n-1-a", token, 1)
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d melting", first))
+	b.want(b.grant("run-1", "n-1-a", 1), 0)
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended eclipse", first))
+	b.want(b.grant("run-1", "n-1-a", 1), 1)
+}
+
 // A machine with many such attempts gets no more direct launches, so that its reports stay
 // short.
 func TestTombsAreBounded(t *testing.T) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -274,15 +274,13 @@
 	held  bool // we have the waiter's place already
 	local bool
 	cold  bool
+	fits  int // tasks of a gang
 }
 
 // job decides on one job's waiting tasks: first free machines with the image; then, for
 // each task, the place after a lease on one that ends before a cold fetch would, or a
 // free machine that must fetch.
 func (s *Scheduler) job(now micros.Time, j *queued) []manager.Ask {
-	if j.OneZone && len(j.InZone) == 0 {
-		s.settleZone(j)
-	}
 	wants := min(j.wants, most)
 	if j.Gang {
 		if j.Active > 0 || j.wants < j.Waiting {
@@ -290,6 +288,9 @@
 		}
 		wants = j.wants
 	}
+	if j.OneZone && len(j.InZone) == 0 && s.settleZone(j) < wants && j.Gang {
+		return nil // it fits nowhere as a whole
+	}
 	free := s.candidates(j)
 	if len(free) == 0 {
 		return nil // nothing to weigh: the tasks stay in the queue
@@ -402,6 +403,9 @@
 				ranks[m] = 2
 			}
 		}
+		if j.Gang {
+			c.fits = s.room(j, m, j.wants)
+		}
 		out = append(out, c)
 	}
 	slices.SortStableFunc(out, func(a, b choice) int {
@@ -422,22 +426,12 @@
 		if c := ranks[a.m] - ranks[b.m]; c != 0 {
 			return c
 		}
-		if j.Gang {
-			if c := s.fewer(j, a.m, b.m); c != 0 {
-				return c
-			}
-		}
-		return better(a.m, b.m)
+		// Each machine that a gang is on may fail or be slow for all of it: as few as can be.
+		return cmp.Or(b.fits-a.fits, better(a.m, b.m))
 	})
 	return out
 }
 
-// fewer prefers the machine that takes more of a gang: each machine that it is on may fail
-// or be slow for all of it.
-func (s *Scheduler) fewer(j *queued, a, b *machine) int {
-	return s.room(j, b, j.wants) - s.room(j, a, j.wants)
-}
-
 // better prefers spot machines, so that dearer ones fall idle, and then the machine that
 // the task fills more, so that large tasks find room on large machines.
 func better(a, b *machine) int {
@@ -451,8 +445,9 @@
 }
 
 // settleZone chooses the zone of a job that wants all its tasks in one: where most of
-// them find room now, for a gang that fits in several, on machines that have its image.
-func (s *Scheduler) settleZone(j *queued) {
+// them find room now, for a gang that fits in several, on machines that have its image. It
+// gives the number that find room there.
+func (s *Scheduler) settleZone(j *queued) int {
 	room, local := map[string]int{}, map[string]int{}
 	best := ""
 	for _, m := range s.order {
@@ -473,9 +468,8 @@
 			best = z
 		}
 	}
-	if best != "" {
-		j.zone = best // the leader checks again
-	}
+	j.zone = best // the leader checks again
+	return room[best]
 }
 
 // skip tells whether a job below the minimum level is passed over. The exception to
