Acceptances and cancellations queue behind no progress

Urgent changes have a part of the pace to themselves; progress slows down when the service says too many.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -27,6 +27,9 @@
 	ErrRefused     = errors.New("the state service refused the request")
 )
 
+// errTooMany is the kind of ErrUnavailable that asks for a slower pace.
+var errTooMany = fmt.Errorf("%w: too many requests or changes a second", ErrUnavailable)
+
 // Conflict says which conditions of a transaction failed.
 type Conflict struct{ Failed []string }
 
@@ -34,20 +37,22 @@
 
 // Client talks to the state service within a share of its limits.
 type Client struct {
-	base   string
-	http   *http.Client
-	watch  *http.Client
-	reqs   *rate.Limiter
-	writes *rate.Limiter
-	mu     sync.Mutex
-	share  float64 // of the changes a second, by the settings
+	base  string
+	http  *http.Client
+	watch *http.Client
+	reqs  *rate.Limiter
+	// urgent are changes that somebody waits for: acceptances, cancellations, the leader's key.
+	// They don't queue behind progress, for which writes are.
+	urgent, writes *rate.Limiter
+	mu             sync.Mutex
+	share          float64 // of the changes a second, by the settings
 	// lowered is when there were last too many for the service.
 	lowered time.Time
 }
 
-// New makes a client, which changes nothing before SetWriteShare has said how much it may.
-// It starts no goroutine of its own.
-func New(dial call.Dialer, addr string, rps float64) *Client {
+// New makes a client that may make so many requests and so many urgent changes a second, and
+// no others before SetWriteShare. It starts no goroutine of its own.
+func New(dial call.Dialer, addr string, rps, urgentRPS float64) *Client {
 	transport := func(conns int) *http.Transport {
 		return &http.Transport{DialContext: dial, MaxConnsPerHost: conns,
 			MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true}
@@ -57,11 +62,13 @@
 		http:   &http.Client{Transport: transport(16)},
 		watch:  &http.Client{Transport: transport(4)},
 		reqs:   rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		urgent: rate.NewLimiter(rate.Limit(urgentRPS), burst(urgentRPS)),
 		writes: rate.NewLimiter(0, 0),
 	}
 }
 
-// SetWriteShare changes how many changes a second this controller may make.
+// SetWriteShare says how many changes a second, beside the urgent ones, this controller may
+// make.
 func (c *Client) SetWriteShare(writeRPS float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -98,7 +105,9 @@
 		return 0, fmt.Errorf("state: %w", err)
 	}
 	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return status, errTooMany
+	case http.StatusServiceUnavailable:
 		return status, ErrUnavailable
 	}
 	if out != nil && (status == http.StatusOK || status == http.StatusConflict) {
@@ -163,26 +172,37 @@
 	}
 }
 
-// Txn runs a transaction and returns its revision. A *Conflict means that nothing
-// was changed; ErrUnavailable and ErrRefused likewise.
+// Txn runs a transaction that somebody waits for, and returns its revision. A *Conflict means
+// that nothing was changed; ErrUnavailable and ErrRefused likewise.
 func (c *Client) Txn(ctx context.Context, t wire.Txn) (uint64, error) {
+	return c.txn(ctx, c.urgent, t)
+}
+
+// Progress runs a transaction that can wait for those.
+func (c *Client) Progress(ctx context.Context, t wire.Txn) (uint64, error) {
+	revision, err := c.txn(ctx, c.writes, t)
+	switch {
+	case err == nil:
+		c.adapt(false)
+	case errors.Is(err, errTooMany):
+		c.adapt(true)
+	}
+	return revision, err
+}
+
+func (c *Client) txn(ctx context.Context, limit *rate.Limiter, t wire.Txn) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
-	if n := len(t.Then); n > 0 {
-		// A transaction with more changes than a burst takes its place in parts.
-		for n > 0 {
-			part := min(n, c.writes.Burst())
-			if err := c.writes.WaitN(ctx, part); err != nil {
-				return 0, ErrUnavailable
-			}
-			n -= part
+	// A transaction with more changes than a burst takes its place in parts.
+	for n := len(t.Then); n > 0; {
+		part := max(1, min(n, limit.Burst()))
+		if err := limit.WaitN(ctx, part); err != nil {
+			return 0, ErrUnavailable
 		}
+		n -= part
 	}
 	var r wire.TxnResult
 	code, err := c.do(ctx, 1500*time.Millisecond, http.MethodPost, "/txn", t, &r)
-	if len(t.Then) > 0 && (code == http.StatusTooManyRequests || code == http.StatusOK) {
-		c.adapt(code != http.StatusOK)
-	}
 	switch {
 	case err != nil:
 		return 0, err
--- a/node.go
+++ b/node.go
@@ -87,7 +87,7 @@
 func New(set *settings.Settings, network Network, log *slog.Logger) *Node {
 	d := &set.Deployment
 	n := &Node{set: set, net: network, log: log.With("member", set.Member), clock: micros.NewClock(), run: rand.Uint64() >> 11,
-		state:   state.New(network.Dial, set.Services.State, set.Share(d.State.Within().RPS)),
+		state:   state.New(network.Dial, set.Services.State, set.Share(d.State.Within().RPS), d.State.Within().WriteRPS*urgentWrites),
 		cloud:   cloud.New(network.Dial, set.Services.Cloud, set.Share(d.Cloud.RPS)),
 		workers: worker.NewClient(network.Dial)}
 	n.setShares(false)
@@ -132,21 +132,23 @@
 	return nil
 }
 
+// urgentWrites is the part of the changes a second that is kept for submissions and
+// cancellations, by whichever controllers they come. The rest is the leader's, for progress,
+// which makes way should several need their part at once.
+const urgentWrites = 0.375
+
 // setShares says what this controller may ask of the state service and the cloud. The leader
-// does nearly all the writing and all the renting; the others share the rest, for submissions
-// and cancellations. The election's goroutine alone says so: a term that is over while the
+// does nearly all the writing and all the renting. The election's goroutine alone says so: a term that is over while the
 // next has begun must not take that one's share away.
 func (n *Node) setShares(leading bool) {
-	const writes, calls = 0.75, 0.7
+	const calls = 0.7
 	d := &n.set.Deployment
-	limit := d.State.Within().WriteRPS
 	if leading {
-		n.state.SetWriteShare(limit * writes)
+		n.state.SetWriteShare(d.State.Within().WriteRPS * (1 - urgentWrites))
 		n.cloud.SetShare(d.Cloud.RPS * calls)
 		return
 	}
-	others := max(1, d.Nodes-1, len(n.set.Peers))
-	n.state.SetWriteShare(limit * (1 - writes) / float64(others))
+	n.state.SetWriteShare(0)
 	n.cloud.SetShare(n.set.Share(d.Cloud.RPS) / 3)
 }
 
--- a/records.go
+++ b/records.go
@@ -37,7 +37,7 @@
 		largest = max(largest, len(value))
 	}
 	for wait := 20 * micros.Millisecond; ; wait = min(2*wait, 500*micros.Millisecond) {
-		revision, err := n.state.Txn(ctx, txn)
+		revision, err := n.state.Progress(ctx, txn)
 		var conflict *state.Conflict
 		switch {
 		case err == nil:
