--- a/internal/manager/grants.go
+++ b/internal/manager/grants.go
@@ -102,9 +102,9 @@
 	return a
 }
 
-// madeForOther tells whether the room on a machine was made for a more urgent job that has
-// still to take it. Without this the tasks that made room would be back before that job's
-// scheduler has seen the room, again and again.
+// madeForOther tells whether the room on a machine was made for a more urgent gang that has
+// still to take it. It needs all of it at once: a task that is back on one machine before the
+// gang's scheduler has seen the room spoils it on all.
 func (m *Manager) madeForOther(now micros.Time, mc *machine, j *job) bool {
 	if now >= mc.madeUntil || mc.madeFor == j.rec.Job.ID {
 		return false
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -150,7 +150,7 @@
 	// reports alone don't.
 	deaf, probed micros.Time
 	keep         string // the job for which its room is kept
-	// madeFor is the job for which others' tasks were stopped here: until then nothing less
+	// madeFor is the gang for which others' tasks were stopped here: until then nothing less
 	// urgent takes the room.
 	madeFor   string
 	madeUntil micros.Time
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -184,7 +184,9 @@
 	}
 	for _, x := range freed {
 		x.stop = true // one that was never launched is gone already: not to be counted again
-		x.machine.madeFor, x.machine.madeUntil = by.rec.Job.ID, now.Add(micros.Seconds(grace)+taking)
+		if by.gang != nil {
+			x.machine.madeFor, x.machine.madeUntil = by.rec.Job.ID, now.Add(micros.Seconds(grace)+taking)
+		}
 		if i := slices.IndexFunc(yards, func(y *yard) bool { return y.mc == x.machine }); i >= 0 {
 			yards[i].room = yards[i].room.Plus(Need(jb), 1)
 		}
