--- a/internal/manager/gangs.go
+++ b/internal/manager/gangs.go
@@ -48,7 +48,7 @@
 	for _, a := range j.active {
 		if im := a.machine.images[jb.Image]; im != nil && im.ready {
 			there = append(there, a)
-		} else if r := a.machine.spec.FetchGBPS; r > 0 && micros.Seconds(jb.ImageGB/r) > m.cfg.GangWait/2 {
+		} else if t := a.machine.spec; t != nil && t.FetchGBPS > 0 && micros.Seconds(jb.ImageGB/t.FetchGBPS) > m.cfg.GangWait/2 {
 			long = true
 		}
 	}
