One time for a late report, one check of where a job's tasks may be, no loss for gangs that are no victims

Clean-up without change of behaviour: the branch of loss for gangs that can't save in time was never reached, since those are no victims, and asked all their machines for each comparison.

--- a/internal/manager/gangs.go
+++ b/internal/manager/gangs.go
@@ -67,15 +67,18 @@
 	return true
 }
 
+// reportDue is the longest time between two reports of a worker that is well, and a second.
+func (m *Manager) reportDue() micros.Span { return m.cfg.Report.Scale(1.25) + micros.Second }
+
 // silent tells whether a machine has not reported when it should have.
 func (m *Manager) silent(now micros.Time, mc *machine) bool {
-	return now.Sub(mc.lastReport) > m.cfg.Report.Scale(1.25)+micros.Second
+	return now.Sub(mc.lastReport) > m.reportDue()
 }
 
 // endUnheard ends an attempt that has not begun and for which a launch does not come through:
 // its mates would wait for it in vain.
 func (m *Manager) endUnheard(now micros.Time, mc *machine) {
-	if mc.deaf == 0 || now.Sub(mc.deaf) < m.cfg.Report.Scale(1.25)+micros.Second {
+	if mc.deaf == 0 || now.Sub(mc.deaf) < m.reportDue() {
 		return
 	}
 	for _, a := range sorted(mc.attempts) {
@@ -190,7 +193,7 @@
 	save := micros.Seconds(j.rec.Job.SaveS)
 	for _, a := range j.active {
 		mc := a.machine
-		late := m.cfg.Report.Scale(1.25) + micros.Second
+		late := m.reportDue()
 		if mc.directOK && mc.via == "" {
 			late = micros.Second
 		}
@@ -235,7 +238,7 @@
 		victims, ok := m.roomForGang(now, j, zones[zone], promised[jb.Team])
 		sum := micros.Span(0)
 		for _, a := range victims {
-			sum += m.loss(now, a)
+			sum += loss(a)
 		}
 		if ok && (!found || sum < least) {
 			best, least, found = victims, sum, true
@@ -267,7 +270,7 @@
 		}
 	}
 	slices.SortStableFunc(may, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(m.loss(now, a), m.loss(now, b)), cmp.Compare(b.job.rec.Job.CPUs, a.job.rec.Job.CPUs))
+		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(b.job.rec.Job.CPUs, a.job.rec.Job.CPUs))
 	})
 	for _, a := range may {
 		if missing <= 0 || len(victims) == mostStops {
--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -108,7 +108,12 @@
 
 // takes tells whether a machine may take a job's tasks once there is room.
 func (m *Manager) takes(now micros.Time, mc *machine, j *job) bool {
-	return m.usable(now, mc) && j.rec.Job.Allows(mc.spec, mc.zone, mc.spot) && m.zoneAllows(j, mc.zone) && j.failed[mc.id] == 0
+	return m.usable(now, mc) && m.suits(mc, j)
+}
+
+// suits tells whether a job's tasks may be on a machine that takes new ones.
+func (m *Manager) suits(mc *machine, j *job) bool {
+	return j.rec.Job.Allows(mc.spec, mc.zone, mc.spot) && m.zoneAllows(j, mc.zone) && j.failed[mc.id] == 0
 }
 
 // holds is how many tasks of a job the machine takes when it is empty.
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -152,7 +152,7 @@
 	}
 	patience := micros.Span(0)
 	if !mc.confirmed && mc.lastReport != 0 {
-		patience = m.cfg.Report.Scale(1.25) + micros.Second
+		patience = m.reportDue()
 	}
 	return now.Sub(mc.deaf) >= patience && (mc.probed == 0 || now.Sub(mc.probed) >= pause)
 }
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -118,9 +118,8 @@
 				if a.job.gang != nil && !m.worthIt(now, j, a.job) {
 					continue
 				}
-				loss := m.loss(now, a)
 				after := y.room.Plus(Need(&a.job.rec.Job), y.freedBy(a))
-				if loss < least && after.Fits(need) {
+				if loss := loss(a); loss < least && after.Fits(need) {
 					best, victim, least = y, a, loss
 				}
 			}
@@ -139,11 +138,9 @@
 
 // yardsFor gives the machines that may take a job's tasks once there is room.
 func (m *Manager) yardsFor(j *job, yards []*yard) []*yard {
-	jb := &j.rec.Job
 	var mine []*yard
 	for _, y := range yards {
-		if jb.Allows(y.mc.spec, y.mc.zone, y.mc.spot) && m.zoneAllows(j, y.mc.zone) && j.failed[y.mc.id] == 0 &&
-			(y.mc.keep == "" || y.mc.keep == jb.ID) {
+		if m.suits(y.mc, j) && (y.mc.keep == "" || y.mc.keep == j.rec.Job.ID) {
 			mine = append(mine, y)
 		}
 	}
@@ -194,26 +191,14 @@
 }
 
 // loss is the time that a task loses when it makes room; for one of a gang, what all of them
-// lose. One that cannot save in time loses what it did since its last checkpoint.
-func (m *Manager) loss(now micros.Time, a *attempt) micros.Span {
-	jb := &a.job.rec.Job
-	n := micros.Span(1)
+// lose. A gang that cannot save in time is no victim.
+func loss(a *attempt) micros.Span {
+	n, lost := micros.Span(1), micros.Span(0)
 	if a.job.gang != nil {
-		// All fetch and wait anew.
-		n = micros.Span(len(a.job.active))
-		if a.state != wire.TaskRunning {
-			return n * micros.Second
-		}
+		n, lost = micros.Span(len(a.job.active)), micros.Second // all fetch and wait anew
 	}
-	if a.state != wire.TaskRunning {
-		return 0
-	}
-	lost := micros.Seconds(jb.SaveS)
-	if a.job.gang != nil && !m.savesInTime(now, a.job) {
-		lost = now.Sub(a.runSince)
-		if every := micros.Seconds(jb.CheckpointS); every > 0 {
-			lost %= every
-		}
+	if a.state == wire.TaskRunning {
+		lost = micros.Seconds(a.job.rec.Job.SaveS)
 	}
 	return n * lost
 }
