--- a/caretaker.go
+++ b/caretaker.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"sync/atomic"
+	"sync"
 
 	"saffronbend/internal/micros"
 	"saffronbend/internal/state"
@@ -18,49 +18,61 @@
 // caretaker first writes down that it renews, on condition that the leader's key still
 // has the token, and the leader looks there before it takes any lease for run out.
 type caretaker struct {
-	n      *Node
-	token  uint64
-	until  atomic.Int64                    // answers may be given before this
-	listed atomic.Int64                    // when the list of cancelled jobs was asked for
-	over   atomic.Pointer[map[string]bool] // jobs that are over
+	n     *Node
+	token uint64
+
+	mu       sync.Mutex
+	until    micros.Time     // answers may be given before this
+	over     map[string]bool // jobs that are over
+	resolved resolved        // that these are known
 }
 
 const (
 	careLife = 4 * micros.Second
 	// careAfter is the leader's silence after which its workers are taken care of.
 	careAfter = 2500 * micros.Millisecond
-	// careFresh is how old the news of cancelled jobs may be.
-	careFresh = 4 * micros.Second
 )
 
 // run takes care until ctx ends. wanted tells whether the leader is silent.
 func (c *caretaker) run(ctx context.Context, wanted func() bool) {
 	var permit uint64
+	stop := func() {}
 	for sleep(ctx, careLife/5) {
 		if !wanted() {
-			c.until.Store(0)
+			c.renewed(0)
 			permit = 0
+			stop()
 			continue
 		}
 		asked := c.n.clock.Now()
 		var err error
 		if permit == 0 {
-			permit, err = c.begin(ctx)
-		} else if err = c.n.state.Renew(ctx, permit); err != nil {
-			permit = 0
-		}
-		if err == nil {
-			err = c.list(ctx)
+			stop()
+			if permit, err = c.begin(ctx); err == nil {
+				stop, err = c.learn(ctx)
+			}
+		} else {
+			err = c.n.state.Renew(ctx, permit)
 		}
 		if err != nil {
+			permit = 0
 			c.n.log.Debug("the leader's workers can't be taken care of", "err", err)
 			continue
 		}
-		if c.until.Swap(int64(asked.Add(careLife-careLife/10))) == 0 {
+		if c.renewed(asked.Add(careLife-careLife/10)) == 0 {
 			c.n.log.Info("taking care of the silent leader's workers", "token", c.token)
 		}
 	}
-	c.until.Store(0)
+	c.renewed(0)
+	stop()
+}
+
+// renewed says until when answers may be given, and gives until when they could be before.
+func (c *caretaker) renewed(until micros.Time) (before micros.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, c.until = c.until, until
+	return before
 }
 
 // begin makes the record that the leader looks for.
@@ -82,40 +94,53 @@
 	return permit, nil
 }
 
-// list finds out which jobs are over.
-func (c *caretaker) list(ctx context.Context) error {
-	asked := c.n.clock.Now()
-	items, _, err := c.n.state.List(ctx, state.OpenPrefix)
-	if err != nil {
-		return err
+// learn finds out which jobs are over, and goes on doing so until stopped.
+func (c *caretaker) learn(ctx context.Context) (stop context.CancelFunc, err error) {
+	all := openNews{asked: c.n.clock.Now()}
+	var from uint64
+	if all.records, from, err = c.n.state.List(ctx, state.OpenPrefix); err != nil {
+		return func() {}, err
 	}
-	over := map[string]bool{}
-	for _, it := range items {
+	c.mu.Lock()
+	c.over = map[string]bool{}
+	c.mu.Unlock()
+	c.heed(all)
+	ctx, stop = context.WithCancel(ctx)
+	c.n.start(func() { c.n.watchOpen(ctx, from, c.heed) })
+	return stop, nil
+}
+
+func (c *caretaker) heed(u openNews) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, it := range u.records {
 		var rec struct {
 			Over string `json:"over"`
 		}
 		if err := json.Unmarshal(it.Value, &rec); err != nil {
-			return err
+			c.n.log.Error("an open record can't be read", "key", it.Key, "err", err)
 		}
 		if rec.Over != "" {
-			over[it.Key[len(state.OpenPrefix):]] = true
+			c.over[it.Key[len(state.OpenPrefix):]] = true
 		}
 	}
-	c.over.Store(&over)
-	c.listed.Store(int64(asked))
-	return nil
+	for _, id := range u.removed {
+		delete(c.over, id)
+	}
+	c.resolved.advance(u.asked)
 }
 
 // answer renews a worker's lease, if it may.
 func (c *caretaker) answer(r *wire.Report) *wire.ReportAnswer {
 	now := c.n.clock.Now()
-	if int64(now) >= c.until.Load() || now.Sub(micros.Time(c.listed.Load())) > careFresh || r.Token > c.token {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now >= c.until || !c.resolved.within(now, c.n.set.MaxStaleness()) || r.Token > c.token {
 		return nil
 	}
-	over := *c.over.Load()
 	a := &wire.ReportAnswer{Token: c.token, Commands: []wire.Command{}}
 	for _, t := range r.Tasks {
-		if id, _, ok := wire.SplitTask(t.Task); ok && over[id] && t.State != wire.TaskExited {
+		if id, _, ok := wire.SplitTask(t.Task); ok && c.over[id] && t.State != wire.TaskExited {
 			a.Commands = append(a.Commands, wire.StopCommand(t.Task, t.Attempt, 0))
 		}
 	}
--- a/elect.go
+++ b/elect.go
@@ -31,16 +31,10 @@
 const permitLife = 5 * micros.Second
 
 func newElector(n *Node) *elector {
-	w := n.set.Deployment.Workers
-	// A leader cut off from the state service goes on answering workers, but not so
-	// long that a cancellation it can't hear of would be missed.
-	const margin = 4 * micros.Second
-	lease := micros.Seconds(w.LeaseS)
-	bound := max(micros.Second, micros.Seconds(w.CancelS)-lease-lease/500-margin)
-	life := min(permitLife, bound)
+	life := min(permitLife, n.set.MaxStaleness())
 	return &elector{n: n, life: life, inbox: make(chan func() []election.Effect, 64),
 		e: election.New(election.Config{Member: n.set.Member, Run: n.run, Life: life,
-			Margin: life / 10, Bound: bound})}
+			Margin: life / 10})}
 }
 
 func (d *elector) run(ctx context.Context) {
@@ -75,12 +69,11 @@
 // settle makes the controller's role that which the election says.
 func (d *elector) settle(ctx context.Context) {
 	n := d.n
-	leading, promise, answer := d.e.Leading()
+	leading, promise := d.e.Leading()
 	member, token := d.e.Leader()
 	if leading {
 		if t := n.role.Load().term; t != nil && t.token == token {
 			t.promise.Store(int64(promise))
-			t.answer.Store(int64(answer))
 			return
 		}
 	}
@@ -102,7 +95,6 @@
 			d.post(ctx, func(now micros.Time) []election.Effect { return d.e.Deposed(now, token, why) })
 		})
 		t.promise.Store(int64(promise))
-		t.answer.Store(int64(answer))
 		d.stop = cancel
 		n.role.Store(&role{term: t, leader: member})
 		n.start(func() { t.run(tctx) })
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -17,7 +17,6 @@
 	Run    uint64      // tells this process from others of the same member
 	Life   micros.Span // of the permit
 	Margin micros.Span // by which a leader stops promising before its permit ends
-	Bound  micros.Span // how long after its last renewal it may answer workers
 }
 
 // Outcome of a request to the state service.
@@ -87,9 +86,9 @@
 }
 
 // Leading tells whether a term is on, and until when, by this controller's clock, the
-// leader may promise something new and may answer workers.
-func (e *Election) Leading() (leading bool, promise, answer micros.Time) {
-	return e.leading, e.renewed.Add(e.cfg.Life - e.cfg.Life/1000 - e.cfg.Margin), e.renewed.Add(e.cfg.Bound)
+// leader may promise something new.
+func (e *Election) Leading() (leading bool, promise micros.Time) {
+	return e.leading, e.renewed.Add(e.cfg.Life - e.cfg.Life/1000 - e.cfg.Margin)
 }
 
 // Tick starts what is due.
--- a/internal/manager/bench_test.go
+++ b/internal/manager/bench_test.go
@@ -40,7 +40,7 @@
 	for j := range 100 {
 		id := fmt.Sprintf("run-%06d", j+1)
 		rec := record(id, machines*each/100, nil)
-		m.JobChanged(*now, 0, rec, uint64(j+1))
+		m.JobChanged(*now, *now, 0, rec, uint64(j+1))
 		for k := range machines / 100 {
 			mc := reports[j*machines/100+k]
 			m.Grant(*now, Request{Asks: []Ask{{Job: id, Machine: mc.Machine, Count: each, Lease: lease}}})
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -158,10 +158,11 @@
 
 // ranOut is when a worker's lease has run out if nobody else has renewed it: only answers
 // with our token renew the lease of a worker that has seen it, and the report that we
-// answered last was sent before we got it. The worker's clock may differ from ours by
+// answered last was sent before we got it. A session of which we hear first in the answer to a direct order
+// lives for a whole lease, though nobody has answered it. The worker's clock may differ from ours by
 // 0.05% each way.
 func (m *Manager) ranOut(mc *machine) micros.Time {
-	return max(mc.lastReport, m.care.last).Add(m.cfg.Lease + m.cfg.Lease/500 + m.cfg.Margin)
+	return max(mc.renewed, m.care.last).Add(m.cfg.Lease + m.cfg.Lease/500 + m.cfg.Margin)
 }
 
 // care is what is known of controllers that renew worker leases in our stead.
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -61,7 +61,7 @@
 	arrival uint64
 	gang    *gang.Gang // nil: its tasks are independent
 	over    string
-	overAt  micros.Time
+	overAt  micros.Time // at the earliest
 	// finalSent guards against a second final write while one is out.
 	finalOut bool
 	// failures of tasks by machine since the last success; a job that fails
@@ -140,12 +140,14 @@
 	deadSession         uint64
 	confirmed           bool // has seen our token, so only our answers renew its lease
 	lastReport          micros.Time
-	lastHeard           micros.Time
-	listed, listedAt    micros.Time // first and last time in a list
-	unlisted            int
-	notice              micros.Time // when it will be taken, 0: no notice
-	deleting            bool
-	suspect             string
+	// renewed is when the worker's lease may have been renewed last, or its session have begun.
+	renewed          micros.Time
+	lastHeard        micros.Time
+	listed, listedAt micros.Time // first and last time in a list
+	unlisted         int
+	notice           micros.Time // when it will be taken, 0: no notice
+	deleting         bool
+	suspect          string
 	// deaf is since when nothing shows that the worker hears us, 0 while something does;
 	// reports alone don't.
 	deaf, probed micros.Time
@@ -422,8 +424,9 @@
 	m.stateOK = ok
 }
 
-// JobChanged takes an open record seen by the watch.
-func (m *Manager) JobChanged(now micros.Time, wall int64, rec state.OpenRecord, version uint64) {
+// JobChanged takes an open record seen by the watch. A cancellation that it tells of may have been
+// confirmed as early as since: what had been confirmed before that is known.
+func (m *Manager) JobChanged(now, since micros.Time, wall int64, rec state.OpenRecord, version uint64) {
 	id := rec.Job.ID
 	if version <= m.removed[id] {
 		return
@@ -440,7 +443,7 @@
 	j.version = version
 	if rec.Over != "" && j.over == "" {
 		j.over = rec.Over
-		j.overAt = now
+		j.overAt = min(now, since)
 		j.finalOut = false
 		m.finals = slices.DeleteFunc(m.finals, func(x string) bool { return x == id })
 		m.stopAll(now, j)
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -57,7 +57,7 @@
 
 func (b *bench) job(id string, tasks int, change func(*wire.Job)) {
 	b.rev++
-	b.m.JobChanged(b.now, 0, record(id, tasks, change), b.rev)
+	b.m.JobChanged(b.now, b.now, 0, record(id, tasks, change), b.rev)
 }
 
 func (b *bench) wait(s micros.Span) { b.now = b.now.Add(s) }
@@ -427,7 +427,7 @@
 	rec := record("run-1", 1, nil)
 	rec.Over = wire.JobCancelled
 	b.rev++
-	b.m.JobChanged(b.now, 0, rec, b.rev)
+	b.m.JobChanged(b.now, b.now, 0, rec, b.rev)
 	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d; stop run-1/0 %d", first, first))
 	b.want(b.report("n-1-a", token, 1, fmt.Sprintf("run-1/0 %d ended halted", first)), "")
 }
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -8,6 +8,9 @@
 	"saffronbend/wire"
 )
 
+// answerLife is how long after its report a worker heeds an answer.
+const answerLife = 4 * micros.Second
+
 // orders makes the commands that answer a report.
 func (m *Manager) orders(now micros.Time, mc *machine, r *wire.Report, launch bool) []wire.Command {
 	cmds := []wire.Command{}
@@ -46,8 +49,10 @@
 			cmds = append(cmds, wire.StopCommand(name, a.id, a.stopGrace))
 		case !a.listed && a.stop && a.directLost:
 			// The late launch must find the attempt known: it is started and stopped in
-			// the same answer and never cleared. Only while the job may still run.
-			if a.job.over == "" || now < a.job.overAt.Add(m.cfg.Cancel/4) {
+			// the same answer and never cleared. A worker that has gone without an answer until the
+			// job's time is nearly up has begun a new session by then, since the time is longer than
+			// its lease; and answers are dropped after 4 s.
+			if a.job.over == "" || now < a.job.overAt.Add(m.cfg.Cancel-answerLife-m.cfg.Margin) {
 				mc.tombs[tombKey{name, a.id}] = tomb{job: a.job}
 				a.sentSeq = r.Seq
 				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id}, wire.StopCommand(name, a.id, 0))
@@ -201,10 +206,10 @@
 		return true
 	}
 	if r.Machine == d.Machine {
-		if !mc.up {
-			mc.probed = 0 // if that was the wrong session, the right one is known now
+		taken := m.take(now, r, false) != nil
+		if taken && out == DirectRefused && r.Session != d.Body.Session {
+			mc.probed = 0 // that was the wrong session, the right one is known now
 		}
-		m.take(now, r, false)
 		if out == DirectExecuted && mc.session == d.Body.Session {
 			m.heard(mc)
 			m.touchMachine(mc)
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -40,7 +40,7 @@
 		m.direct[mc.id] = true
 	}
 	mc.via = via
-	mc.lastReport = now
+	mc.lastReport, mc.renewed = now, now
 	return &wire.ReportAnswer{Token: m.cfg.Token, Commands: m.orders(now, mc, r, launch)}, false
 }
 
@@ -74,6 +74,7 @@
 		m.unheard(now, mc)
 	}
 	if r.Session > mc.session {
+		mc.renewed = now
 		for _, a := range sorted(mc.attempts) {
 			if a.session < r.Session {
 				m.drop(now, a)
@@ -90,7 +91,7 @@
 		m.heard(mc)
 		// Until it had our token, another's answer may have renewed its lease after the last
 		// report that we know of.
-		mc.lastReport = now
+		mc.lastReport, mc.renewed = now, now
 	case !heard:
 		m.unheard(now, mc)
 	}
--- a/internal/manager/writes.go
+++ b/internal/manager/writes.go
@@ -25,6 +25,7 @@
 	finals   []string
 	cleaned  map[string][]int
 	closed   []string
+	open     []string // jobs that must not be over yet
 }
 
 type doneTask struct {
@@ -69,6 +70,9 @@
 type Write struct {
 	ID      uint64
 	Changes []Change
+	// Open are the open records of the jobs that it completes or places tasks of, with the versions that
+	// they must have: a user may have cancelled a job through another controller.
+	Open []Change
 }
 
 // NextWrite gives the next transaction, if one is due and none is out.
@@ -101,6 +105,7 @@
 		m.finals = slices.Delete(m.finals, i, i+1)
 		j.finalOut = true
 		b.finals = append(b.finals, id)
+		b.open = append(b.open, id)
 		w.Changes = append(w.Changes, Change{Key: state.StatusKey(id), Version: j.version, Value: state.StatusRecord{Status: wire.JobDone}})
 		if full {
 			w.Changes = append(w.Changes, Change{Key: state.OpenKey(id), Version: j.version})
@@ -154,6 +159,10 @@
 	if len(w.Changes) == 0 {
 		return nil
 	}
+	slices.Sort(b.open)
+	for _, id := range slices.Compact(b.open) {
+		w.Open = append(w.Open, Change{Key: state.OpenKey(id), Version: m.jobs[id].version})
+	}
 	m.writeNo++
 	b.began = now
 	m.writeOut = b
@@ -260,6 +269,7 @@
 			rec.Active = append(rec.Active, a.placement())
 			if !a.durable {
 				b.attempts = append(b.attempts, a)
+				b.open = append(b.open, j.rec.Job.ID)
 			}
 		}
 	}
@@ -338,8 +348,7 @@
 }
 
 // WriteConflict takes the outcome of a write that changed nothing because a user has
-// changed a job's records meanwhile. The watch brings the news; until then the
-// completed jobs of the write are tried again.
+// cancelled a job of it meanwhile. What has become of its jobs has been told before.
 func (m *Manager) WriteConflict(now micros.Time, id uint64) {
 	b := m.endWrite(id)
 	if b == nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -4,7 +4,7 @@
 // throughout.
 //
 // A scenario is a txtar archive with the sections `world`, `steps` and, if need be,
-// `options`. testdata/README.md lists the words that they may use.
+// `options`, `records` and `sweep`. testdata/README.md lists the words that they may use.
 package scenario
 
 import (
@@ -44,6 +44,13 @@
 type Scenario struct {
 	world, steps, records []string
 	options               []byte
+	sweep                 []variable
+}
+
+// variable stands for one value after another: a scenario is played with each of them.
+type variable struct {
+	name   string
+	values []string
 }
 
 // Parse reads a scenario.
@@ -59,6 +66,11 @@
 			s.options = f.Data
 		case "records":
 			s.records = lines(f.Data)
+		case "sweep": // NAME VALUE | VALUE ...
+			for _, l := range lines(f.Data) {
+				name, values, _ := strings.Cut(l, " ")
+				s.sweep = append(s.sweep, variable{"$" + name, strings.Split(values, "|")})
+			}
 		default:
 			return nil, fmt.Errorf("unknown section %q", f.Name)
 		}
@@ -69,6 +81,38 @@
 	return s, nil
 }
 
+// Variants gives a scenario for each choice of values of its sweep, by what is chosen.
+func (s *Scenario) Variants() (names []string, variants []*Scenario) {
+	names, variants = []string{""}, []*Scenario{s}
+	for _, v := range s.sweep {
+		var ns []string
+		var vs []*Scenario
+		for i, base := range variants {
+			for _, value := range v.values {
+				value = strings.TrimSpace(value)
+				one := *base
+				one.world, one.steps = replace(base.world, v.name, value), replace(base.steps, v.name, value)
+				ns, vs = append(ns, strings.TrimSpace(names[i]+" "+v.name[1:]+" "+value)), append(vs, &one)
+			}
+		}
+		names, variants = ns, vs
+	}
+	return names, variants
+}
+
+// replace puts a value, which may be several steps separated by semicolons, in a variable's place.
+func replace(lines []string, name, value string) []string {
+	var out []string
+	for _, l := range lines {
+		for _, part := range strings.Split(strings.ReplaceAll(l, name, value), ";") {
+			if part = strings.TrimSpace(part); part != "" {
+				out = append(out, part)
+			}
+		}
+	}
+	return out
+}
+
 func lines(data []byte) []string {
 	var out []string
 	for _, l := range strings.Split(string(data), "\n") {
@@ -129,6 +173,7 @@
 			return fmt.Errorf("step %q: %w", l, err)
 		}
 	}
+	w.referee.Finish()
 	if b := w.referee.Broken(); len(b) > 0 {
 		return fmt.Errorf("rules broken: %s", strings.Join(b, "; "))
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -29,16 +29,26 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var logs bytes.Buffer
-			synctest.Test(t, func(t *testing.T) {
-				err = s.Play(t.Context(), &logs)
-			})
-			if err != nil || testing.Verbose() {
-				t.Log(logs.String())
-			}
-			if err != nil {
-				t.Error(err)
+			names, variants := s.Variants()
+			for i, v := range variants {
+				if names[i] == "" {
+					play(t, v)
+					continue
+				}
+				t.Run(names[i], func(t *testing.T) { play(t, v) })
 			}
 		})
 	}
 }
+
+func play(t *testing.T, s *Scenario) {
+	var logs bytes.Buffer
+	var err error
+	synctest.Test(t, func(t *testing.T) { err = s.Play(t.Context(), &logs) })
+	if err != nil || testing.Verbose() {
+		t.Log(logs.String())
+	}
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -45,10 +45,12 @@
 		return w.never(seconds(number(f[1])), f[2:])
 	case "check": // CONDITION
 		return w.check(f[1:])
+	case "calm": // SECONDS: the troubles are over
+		return w.calm(seconds(number(f[1])))
 	case "crash", "start", "restart":
 		return w.process(f[0], f[1:])
-	case "cut", "refuse", "deaf", "heal":
-		mode := map[string]standin.Mode{"cut": standin.Hold, "refuse": standin.Refuse, "deaf": standin.Deaf, "heal": standin.Pass}[f[0]]
+	case "cut", "refuse", "deaf", "mute", "heal":
+		mode := map[string]standin.Mode{"cut": standin.Hold, "refuse": standin.Refuse, "deaf": standin.Deaf, "mute": standin.Mute, "heal": standin.Pass}[f[0]]
 		return w.link(f[1], f[2], mode)
 	case "state":
 		return w.stateFault(f[1:])
@@ -215,6 +217,37 @@
 	return nil
 }
 
+// calm lets time pass without troubles: each accepted job must be answered for by every controller
+// that runs, and none may be left waiting beside room.
+func (w *world) calm(limit time.Duration) error {
+	const forgotten = 75 * time.Second
+	begun := time.Now()
+	answered := map[string]time.Time{}
+	for end := begun.Add(limit); time.Now().Before(end); time.Sleep(time.Second) {
+		for _, id := range w.referee.Accepted() {
+			ok := true
+			for _, m := range w.members {
+				code, _, err := w.poll(http.MethodGet, m, id, "")
+				if err != nil {
+					return err
+				}
+				ok = ok && (code == http.StatusOK || w.nodes[m].cancel == nil)
+			}
+			since := begun
+			if t, before := answered[id]; before {
+				since = t
+			}
+			if ok {
+				answered[id] = time.Now()
+			} else if time.Since(since) > forgotten {
+				return fmt.Errorf("no question about %s is answered for %s", id, time.Since(since))
+			}
+		}
+		w.referee.LookForRoom(w.cloud.Workers())
+	}
+	return nil
+}
+
 // check tests a condition.
 func (w *world) check(f []string) error {
 	got, want := "", f[len(f)-1]
@@ -230,6 +263,20 @@
 				break
 			}
 		}
+	case "late-starts": // N, at most: starts of cancelled jobs after that was confirmed
+		if n := w.referee.LateStarts(); n <= int(number(want)) {
+			return nil
+		}
+		got = fmt.Sprint(w.referee.LateStarts())
+	case "orders": // MACHINE N, at most: direct orders that have come in
+		wk := w.cloud.Worker(f[1])
+		if wk == nil {
+			return fmt.Errorf("no machine %q", f[1])
+		}
+		if wk.Orders() <= int(number(want)) {
+			return nil
+		}
+		got = fmt.Sprint(wk.Orders())
 	case "starts": // ID N
 		got = fmt.Sprint(w.referee.Starts(f[1]))
 	case "runs": // ID N: how often a gang has begun to run
@@ -329,8 +376,8 @@
 	if n := w.nodes[w.member(name)]; n != nil {
 		return []string{n.ip}, nil
 	}
-	if wk := w.cloud.Worker(name); wk != nil {
-		return []string{wk.IP()}, nil
+	if ip, ok := standin.MachineIP(name); ok {
+		return []string{ip}, nil
 	}
 	return nil, fmt.Errorf("no host %q", name)
 }
@@ -358,6 +405,8 @@
 	switch f[0] {
 	case "outage", "back":
 		w.state.Outage(f[0] == "outage")
+	case "watches": // SECONDS: by how much their answers lag
+		w.state.WatchesLag(seconds(number(f[1])))
 	case "refuse", "serve": // MEMBER
 		w.state.Refuse(w.nodes[w.member(f[1])].ip, f[0] == "refuse")
 	case "late": // PREFIX SECONDS
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -282,12 +282,33 @@
 	if d.Workers.CancelS <= d.Workers.LeaseS {
 		return errors.New("deployment.workers.cancel_s must be longer than lease_s")
 	}
+	if stale := s.MaxStaleness(); stale < leastStaleness {
+		return fmt.Errorf("deployment.workers.cancel_s is too short: beyond lease_s it leaves %.2f s for news of cancellations to reach the leader, %.0f are needed",
+			stale.Seconds(), leastStaleness.Seconds())
+	}
 	if g := d.Workers.GangWaitS; g != nil && *g < d.Workers.ReportS {
 		return errors.New("deployment.workers.gang_wait_s must not be shorter than report_s: a gang would give up before anything is known of it")
 	}
 	return nil
 }
 
+// NewsBlock is how long the leader's watch of the jobs waits for a change. What it knows of
+// cancellations is never much older than this and the same once more while the service serves.
+const NewsBlock = micros.Second
+
+// The leader's watch takes two blocks and a slow answer to bring news in the worst case; with less
+// than this, leases would run out while nothing is wrong.
+const leastStaleness = 3 * NewsBlock
+
+// MaxStaleness is how old the news of cancellations may be when a worker's lease is renewed. A
+// job cancelled just after them is off the worker when that lease has run out, and within cancel_s
+// by the true time: both clocks may be slow, and a worker's timers fire in steps.
+func (s *Settings) MaxStaleness() micros.Span {
+	const drift, steps = 1000, micros.Second
+	cancel := micros.Seconds(s.Deployment.Workers.CancelS)
+	return cancel - cancel/drift - s.Lease() - steps
+}
+
 // GangWait is how long a task waits for the others of its gang.
 func (s *Settings) GangWait() micros.Span {
 	return s.gangTime(s.Deployment.Workers.GangWaitS, 3)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -83,6 +83,19 @@
 	return nil
 }
 
+// Workers gives the workers of the machines that are up.
+func (c *Cloud) Workers() []*Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*Worker
+	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
+		if m := c.machines[id]; m.worker != nil && m.m.State == wire.MachineRunning {
+			out = append(out, m.worker)
+		}
+	}
+	return out
+}
+
 // Add enters a machine that is up from the start.
 func (c *Cloud) Add(typ, zone string, spot bool) string {
 	c.mu.Lock()
@@ -107,10 +120,21 @@
 	delete(c.machines, id)
 }
 
+const machineName = "n-%06d"
+
+func machineIP(n int) string { return fmt.Sprintf("10.1.%d.%d", n/250, n%250+1) }
+
+// MachineIP gives the address of a machine, which nobody else gets when it is gone.
+func MachineIP(id string) (string, bool) {
+	var n int
+	_, err := fmt.Sscanf(id, machineName, &n)
+	return machineIP(n), err == nil
+}
+
 func (c *Cloud) rent(typ, zone string, spot bool, boot time.Duration) string {
 	c.next++
-	id := fmt.Sprintf("n-%06d", c.next)
-	ip := fmt.Sprintf("10.1.%d.%d", c.next/250, c.next%250+1)
+	id := fmt.Sprintf(machineName, c.next)
+	ip := machineIP(c.next)
 	m := &rented{since: time.Now(), bootAt: time.Now().Add(boot),
 		m: wire.Machine{ID: id, Addr: ip + ":9000", Type: typ, Zone: zone, Spot: spot, State: wire.MachineStarting}}
 	c.machines[id] = m
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -24,6 +24,7 @@
 	Hold        // packets are held back and delivered once the link passes again
 	Refuse      // connections are refused and open ones reset
 	Deaf        // what goes to the first host is held back; what it sends arrives
+	Mute        // connections that the first host opens are held back; those to it are not
 )
 
 // Network connects hosts, each with one address.
@@ -31,13 +32,13 @@
 	mu     sync.Mutex
 	hosts  map[string]*Host
 	links  map[[2]string]Mode
-	deaf   map[[2]string]string // the host that does not hear the other
+	first  map[[2]string]string // the host named first where a link is deaf or mute
 	change chan struct{}        // closed when something may have become possible
 }
 
 // NewNetwork makes a network without hosts.
 func NewNetwork() *Network {
-	return &Network{hosts: map[string]*Host{}, links: map[[2]string]Mode{}, deaf: map[[2]string]string{}, change: make(chan struct{})}
+	return &Network{hosts: map[string]*Host{}, links: map[[2]string]Mode{}, first: map[[2]string]string{}, change: make(chan struct{})}
 }
 
 // Host is a machine for as long as it lives; another may take its address then.
@@ -93,12 +94,12 @@
 }
 
 // Link sets how the link between two hosts behaves; with Deaf, a is the one that does not
-// hear.
+// hear, with Mute the one that can't speak up.
 func (n *Network) Link(a, b string, m Mode) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.links[pair(a, b)] = m
-	n.deaf[pair(a, b)] = a
+	n.first[pair(a, b)] = a
 	for _, ip := range []string{a, b} {
 		h := n.hosts[ip]
 		if h == nil {
@@ -111,18 +112,19 @@
 			if m == Refuse {
 				c.breakBoth(syscall.ECONNRESET)
 			} else {
-				c.in.setHeld(n.holds(c.remote.ip, c.local.ip))
-				c.out.setHeld(n.holds(c.local.ip, c.remote.ip))
+				c.in.setHeld(n.holds(c.remote.ip, c.local.ip, c.dialer))
+				c.out.setHeld(n.holds(c.local.ip, c.remote.ip, c.dialer))
 			}
 		}
 	}
 	n.broadcast()
 }
 
-// holds tells whether packets from one host to another are held back.
-func (n *Network) holds(from, to string) bool {
+// holds tells whether packets from one host to another are held back, on a connection that the dialer
+// has opened.
+func (n *Network) holds(from, to, dialer string) bool {
 	p := pair(from, to)
-	return n.links[p] == Hold || n.links[p] == Deaf && n.deaf[p] == to
+	return n.links[p] == Hold || n.links[p] == Deaf && n.first[p] == to || n.links[p] == Mute && n.first[p] == dialer
 }
 
 // Listen opens a listener on the host.
@@ -172,7 +174,8 @@
 	}
 	to := n.hosts[ip]
 	mode := n.links[pair(h.ip, ip)]
-	if to == nil || mode == Hold || mode == Deaf && n.deaf[pair(h.ip, ip)] == ip {
+	first := n.first[pair(h.ip, ip)]
+	if to == nil || mode == Hold || mode == Deaf && first == ip || mode == Mute && first == h.ip {
 		return nil, n.change, nil // silent
 	}
 	if to.dead || mode == Refuse || to.listeners[addr] == nil {
@@ -180,15 +183,15 @@
 	}
 	l := to.listeners[addr]
 	up, down := newPipe(), newPipe()
-	near := &conn{local: h, remote: to, in: down, out: up, localAddr: h.ip + ":1", remoteAddr: addr}
-	far := &conn{local: to, remote: h, in: up, out: down, localAddr: addr, remoteAddr: h.ip + ":1"}
+	near := &conn{local: h, remote: to, dialer: h.ip, in: down, out: up, localAddr: h.ip + ":1", remoteAddr: addr}
+	far := &conn{local: to, remote: h, dialer: h.ip, in: up, out: down, localAddr: addr, remoteAddr: h.ip + ":1"}
 	select {
 	case l.backlog <- far:
 	default:
 		return nil, nil, refused
 	}
 	h.conns[near], to.conns[far] = true, true
-	down.setHeld(n.holds(ip, h.ip))
+	down.setHeld(n.holds(ip, h.ip, h.ip))
 	return near, nil, nil
 }
 
@@ -364,6 +367,7 @@
 	local, remote         *Host
 	in, out               *pipe
 	localAddr, remoteAddr string
+	dialer                string // IP of the host that opened it
 }
 
 func (c *conn) breakBoth(err error) {
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	begun  map[gangKey]map[int]bool
 	used   map[string]float64
 	broken []string
+	// lateStarts counts the starts after a confirmed cancellation.
+	lateStarts int
 }
 
 type refJob struct {
@@ -32,6 +36,7 @@
 	cancelled bool // its user has asked for it
 	on        map[int]*Worker
 	done      map[int]bool
+	besides   time.Time // since when none of its tasks runs though a machine has room
 }
 
 // NewReferee makes a referee.
@@ -176,6 +181,9 @@
 		r.breach("ran_twice", "%s/%d starts on %s while it is on %s", id, n, w.id, other.id)
 	}
 	r.late(id, j, "starts")
+	if j.told == wire.JobCancelled {
+		r.lateStarts++
+	}
 	zones, total := 0, 0
 	for _, o := range j.on {
 		total++
@@ -200,6 +208,70 @@
 	}
 }
 
+// LateStarts gives the number of starts after a confirmed cancellation.
+func (r *Referee) LateStarts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lateStarts
+}
+
+// Accepted gives the jobs that users were told are known.
+func (r *Referee) Accepted() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(r.jobs)) {
+		if r.jobs[id].told != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// LookForRoom looks for jobs none of whose tasks runs while a machine that fits has room and their team
+// is under its limit. None may be left so for 90 s.
+func (r *Referee) LookForRoom(workers []*Worker) {
+	const most = 90 * time.Second
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cpus, mem := map[*Worker]float64{}, map[*Worker]float64{}
+	for _, j := range r.jobs {
+		for _, w := range j.on {
+			cpus[w] += j.job.CPUs
+			mem[w] += j.job.MemoryGB
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.jobs)) {
+		j := r.jobs[id]
+		limit := r.limits[j.job.Team]
+		room := j.told != "" && !j.cancelled && !j.fails && j.job.Kind != wire.KindGang && len(j.on) == 0 && len(j.done) < j.job.Tasks &&
+			(limit == 0 || r.used[j.job.Team]+j.job.CPUs <= limit+1e-9) &&
+			slices.ContainsFunc(workers, func(w *Worker) bool {
+				t := r.types[w.typ]
+				return j.job.Allows(t, w.zone, w.spot) && cpus[w]+j.job.CPUs <= t.CPUs+1e-9 && mem[w]+j.job.MemoryGB <= t.MemoryGB+1e-9
+			})
+		switch {
+		case !room:
+			j.besides = time.Time{}
+		case j.besides.IsZero():
+			j.besides = time.Now()
+		case time.Since(j.besides) > most:
+			r.breach("left_waiting", "%s waits beside room for %s", id, time.Since(j.besides))
+		}
+	}
+}
+
+// Finish looks at what is left at the end.
+func (r *Referee) Finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(r.jobs)) {
+		if j := r.jobs[id]; len(j.on) > 0 {
+			r.late(id, j, "is still there")
+		}
+	}
+}
+
 // left notes that a task is no longer on a machine.
 func (r *Referee) left(w *Worker, id string, n int, done bool) {
 	r.mu.Lock()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -33,6 +33,7 @@
 	tokens   float64 // changes that may be made at once
 	filled   time.Time
 	refusals int
+	watchLag time.Duration
 }
 
 // StateLimits bounds changes; 0: not at all.
@@ -62,6 +63,13 @@
 	s.signal()
 }
 
+// WatchesLag sets by how much the answers of watches come late.
+func (s *State) WatchesLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchLag = lag
+}
+
 // Refuse begins or ends refusing one host.
 func (s *State) Refuse(ip string, on bool) {
 	s.mu.Lock()
@@ -339,9 +347,10 @@
 	end := time.NewTimer(time.Duration(block) * time.Millisecond)
 	defer end.Stop()
 	for over := false; ; {
-		res, change := s.since(q.Get("prefix"), from)
+		res, change, lag := s.since(q.Get("prefix"), from)
 		// During an outage an open watch stays open.
 		if (len(res.Events) > 0 || over) && !s.unavailable(ip) {
+			time.Sleep(lag)
 			reply(w, http.StatusOK, res)
 			return
 		}
@@ -355,7 +364,7 @@
 	}
 }
 
-func (s *State) since(prefix string, from uint64) (wire.WatchResult, chan struct{}) {
+func (s *State) since(prefix string, from uint64) (wire.WatchResult, chan struct{}, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	res := wire.WatchResult{Revision: s.revision, Events: []wire.Event{}}
@@ -364,7 +373,7 @@
 			res.Events = append(res.Events, e)
 		}
 	}
-	return res, s.change
+	return res, s.change, s.watchLag
 }
 
 // Item gives a key's item.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -53,6 +53,7 @@
 	sick                bool // fails every task
 	hung                chan struct{}
 	dying               atomic.Bool
+	orders              atomic.Int64 // direct ones that have come in
 	gone                chan struct{}
 }
 
@@ -425,6 +426,9 @@
 	}
 }
 
+// Orders gives how many direct orders have come in.
+func (w *Worker) Orders() int { return int(w.orders.Load()) }
+
 func (w *Worker) direct(rw http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != wire.PathCommands {
 		reply(rw, http.StatusNotFound, wire.Error{Error: "no such path"})
@@ -435,6 +439,7 @@
 		reply(rw, http.StatusBadRequest, wire.Error{Error: "malformed"})
 		return
 	}
+	w.orders.Add(1)
 	type result struct {
 		code int
 		body []byte
@@ -540,6 +545,3 @@
 		w.exit(t, wire.WhyStopped, false)
 	}
 }
-
-// IP gives the machine's address.
-func (w *Worker) IP() string { return w.ip }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -250,7 +250,7 @@
 
 // Watch waits for changes of keys with the prefix after a revision.
 func (c *Client) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (*wire.WatchResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, block+5*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, block+3*time.Second)
 	defer cancel()
 	if err := c.reqs.Wait(ctx); err != nil {
 		return nil, ErrUnavailable
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -169,7 +169,7 @@
 	rec := state.OpenRecord{Job: gang, Accepted: 1764600000000000, Chunk: state.ChunkSize(gang.Kind, 2)}
 	put("open", state.OpenKey(gang.ID), rec)
 	put("open", state.OpenKey(gang.ID), rec.Closed(wire.JobCancelled))
-	m.JobChanged(1000, 1764600000000000, rec, 60)
+	m.JobChanged(1000, 1000, 1764600000000000, rec, 60)
 	seq := uint64(0)
 	report := func(id string, tasks ...wire.TaskReport) {
 		seq++
--- a/records.go
+++ b/records.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"slices"
-	"time"
 
 	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
@@ -20,9 +19,15 @@
 func (t *term) write(ctx context.Context, w *manager.Write) {
 	n := t.n
 	txn := wire.Txn{If: []wire.Cond{{Key: state.LeaderKey, Version: t.token}}}
+	// A record that changes is conditioned on its version in any case.
+	for _, c := range slices.Concat(w.Changes, w.Open) {
+		cond := wire.Cond{Key: c.Key, Version: c.Version}
+		if !slices.Contains(txn.If, cond) {
+			txn.If = append(txn.If, cond)
+		}
+	}
 	largest := 0
 	for _, c := range w.Changes {
-		txn.If = append(txn.If, wire.Cond{Key: c.Key, Version: c.Version})
 		if c.Value == nil {
 			txn.Then = append(txn.Then, wire.Change{Delete: c.Key})
 			continue
@@ -73,7 +78,7 @@
 }
 
 // resolve finds out why a write's conditions failed though we lead: an earlier try of
-// it came through, or a user has cancelled a job that it was to complete.
+// it came through, or a user has cancelled a job that it was to complete or to launch tasks of.
 func (t *term) resolve(ctx context.Context, w *manager.Write) bool {
 	n := t.n
 	for _, c := range w.Changes {
@@ -102,56 +107,56 @@
 			t.post(ctx, func(now micros.Time) { t.mgr.Written(now, w.ID, version) })
 			return true
 		case c.Mark == "" && it != nil:
-			t.post(ctx, func(now micros.Time) { t.mgr.WriteConflict(now, w.ID) })
-			return true
+			return t.conflict(ctx, w)
 		}
 		t.depose("a record of ours has been changed by another")
 		return true
 	}
-	return false
+	return t.conflict(ctx, w)
 }
 
-// watchJobs follows the open records.
-func (t *term) watchJobs(ctx context.Context, from uint64) {
-	n := t.n
-	const block = 4 * time.Second
-	for ctx.Err() == nil {
-		r, err := n.state.Watch(ctx, state.OpenPrefix, from, block)
-		if errors.Is(err, state.ErrCompacted) {
-			var items []wire.Item
-			if items, from, err = n.state.List(ctx, state.OpenPrefix); err == nil {
-				for _, it := range items {
-					t.openChanged(ctx, it.Value, it.Version)
-				}
-				continue
-			}
-		}
+// conflict ends a write that changed nothing because a user has cancelled a job of it. The watch may lag:
+// what is stored of the jobs is read here, so that the write is not made again as it was.
+func (t *term) conflict(ctx context.Context, w *manager.Write) bool {
+	var news openNews
+	for _, c := range w.Open {
+		it, err := t.n.state.Get(ctx, c.Key)
 		if err != nil {
-			if !sleep(ctx, 100*micros.Millisecond) {
-				return
-			}
-			continue
+			return false
 		}
-		n.served()
-		from = r.Revision
-		for _, ev := range r.Events {
-			if ev.Delete != "" {
-				id := ev.Delete[len(state.OpenPrefix):]
-				t.post(ctx, func(micros.Time) { t.mgr.JobRemoved(id) })
-				continue
-			}
-			t.openChanged(ctx, ev.Value, ev.Version)
+		if it != nil && it.Version != c.Version {
+			news.records = append(news.records, *it)
 		}
 	}
+	t.heed(ctx, news)
+	t.post(ctx, func(now micros.Time) { t.mgr.WriteConflict(now, w.ID) })
+	return true
 }
 
-func (t *term) openChanged(ctx context.Context, value json.RawMessage, version uint64) {
-	var rec state.OpenRecord
-	if err := json.Unmarshal(value, &rec); err != nil {
-		t.n.log.Error("an open record can't be read", "err", err)
-		return
+// heed takes what the watch of the open records has brought.
+func (t *term) heed(ctx context.Context, u openNews) {
+	type changed struct {
+		rec     state.OpenRecord
+		version uint64
 	}
-	t.post(ctx, func(now micros.Time) { t.mgr.JobChanged(now, t.n.clock.Wall(), rec, version) })
+	changes := make([]changed, 0, len(u.records))
+	for _, it := range u.records {
+		c := changed{version: it.Version}
+		if err := json.Unmarshal(it.Value, &c.rec); err != nil {
+			t.n.log.Error("an open record can't be read", "key", it.Key, "err", err)
+			continue
+		}
+		changes = append(changes, c)
+	}
+	t.post(ctx, func(now micros.Time) {
+		for _, c := range changes {
+			t.mgr.JobChanged(now, t.resolved.at, t.n.clock.Wall(), c.rec, c.version)
+		}
+		for _, id := range u.removed {
+			t.mgr.JobRemoved(id)
+		}
+		t.resolved.advance(u.asked)
+	})
 }
 
 // readCare reads who renews worker leases in our stead.
--- /dev/null
+++ b/resolved.go
@@ -0,0 +1,56 @@
+package saffronbend
+
+import (
+	"context"
+	"errors"
+
+	"saffronbend/internal/micros"
+	"saffronbend/internal/settings"
+	"saffronbend/internal/state"
+	"saffronbend/wire"
+)
+
+// resolved is a resolved timestamp, by this controller's clock: all cancellations that any controller has
+// confirmed before it are known here. It comes from the lists and watches of the open records
+// themselves, by when they were asked for, and from nothing else: that a permit could be renewed says
+// nothing about a watch that waits, lags or is being read again.
+type resolved struct{ at micros.Time }
+
+func (r *resolved) advance(asked micros.Time) { r.at = max(r.at, asked) }
+
+// within tells whether the news are no older than a span.
+func (r *resolved) within(now micros.Time, s micros.Span) bool { return now.Sub(r.at) < s }
+
+// openNews is what has become of the open records by the time at which that was asked for.
+type openNews struct {
+	asked   micros.Time
+	records []wire.Item
+	removed []string // jobs
+}
+
+// watchOpen follows the open records from a revision on until ctx ends.
+func (n *Node) watchOpen(ctx context.Context, from uint64, heed func(openNews)) {
+	for ctx.Err() == nil {
+		u := openNews{asked: n.clock.Now()}
+		r, err := n.state.Watch(ctx, state.OpenPrefix, from, settings.NewsBlock.Duration())
+		switch {
+		case err == nil:
+			n.served()
+			from = r.Revision
+			for _, ev := range r.Events {
+				if ev.Delete != "" {
+					u.removed = append(u.removed, ev.Delete[len(state.OpenPrefix):])
+				} else {
+					u.records = append(u.records, wire.Item{Key: ev.Put, Value: ev.Value, Version: ev.Version})
+				}
+			}
+		case errors.Is(err, state.ErrCompacted):
+			u.records, from, err = n.state.List(ctx, state.OpenPrefix)
+		}
+		if err == nil {
+			heed(u)
+		} else if !sleep(ctx, 100*micros.Millisecond) {
+			return
+		}
+	}
+}
--- a/term.go
+++ b/term.go
@@ -26,17 +26,17 @@
 	inbox   chan func(now micros.Time)
 	ready   chan struct{} // closed once the records are loaded
 	done    chan struct{} // closed when the term is over
-	promise atomic.Int64  // until when something new may be promised
-	answer  atomic.Int64  // until when workers may be answered
+	promise atomic.Int64  // until when the permit lets something new be promised
 	silent  atomic.Bool   // some machine that was up has fallen silent
 
-	mgr     *manager.Manager
-	fleet   *fleet.Fleet
-	subs    map[*subscriber]bool
-	alive   map[string]micros.Time // when each other controller asked last
-	shown   micros.Time
-	managed micros.Time // when the fleet decided last
-	assign  map[string]string
+	mgr      *manager.Manager
+	resolved resolved
+	fleet    *fleet.Fleet
+	subs     map[*subscriber]bool
+	alive    map[string]micros.Time // when each other controller asked last
+	shown    micros.Time
+	managed  micros.Time // when the fleet decided last
+	assign   map[string]string
 }
 
 // subscriber is a controller that follows; news tells it that there is a newer view.
@@ -65,7 +65,7 @@
 		return
 	}
 	close(t.ready)
-	n.start(func() { t.watchJobs(ctx, from) })
+	n.start(func() { n.watchOpen(ctx, from, func(u openNews) { t.heed(ctx, u) }) })
 	n.start(func() { t.watchCloud(ctx) })
 	n.start(func() { t.readCare(ctx) })
 	n.start(func() { t.watchPrices(ctx) })
@@ -108,6 +108,7 @@
 	n := t.n
 	d := &n.set.Deployment
 	for {
+		asked := n.clock.Now()
 		open, revision, err := n.state.List(ctx, state.OpenPrefix)
 		var chunks []wire.Item
 		if err == nil {
@@ -130,6 +131,7 @@
 				t.mgr.SetTypes(types)
 				t.fleet.SetTypes(types)
 			}
+			t.resolved.advance(asked)
 			n.log.Info("term begins", "token", t.token, "open_jobs", len(open), "records", len(chunks))
 			return revision, true
 		}
@@ -177,7 +179,15 @@
 	return false
 }
 
-func (t *term) mayPromise(now micros.Time) bool { return int64(now) < t.promise.Load() }
+// mayPromise tells whether something new may be promised: while the permit lasts, and on fresh news
+// only. After an outage the permit is renewed at once, while the news may still be on their way.
+func (t *term) mayPromise(now micros.Time) bool {
+	return int64(now) < t.promise.Load() && t.resolved.within(now, min(permitLife, t.n.set.MaxStaleness()))
+}
+
+// mayRenew tells whether a worker's lease may be renewed: the news must be fresh enough for a job
+// cancelled since to be off the worker in time.
+func (t *term) mayRenew(now micros.Time) bool { return t.resolved.within(now, t.n.set.MaxStaleness()) }
 
 // report serves a worker's report; via names the controller that passes it on, if one does.
 func (t *term) report(ctx context.Context, r *wire.Report, via string) (ans peer.RelayAnswer) {
@@ -192,7 +202,7 @@
 		switch {
 		case via != "" && t.mgr.SendBack(now, r.Machine):
 			ans.Reached = true
-		case int64(now) < t.answer.Load():
+		case t.mayRenew(now):
 			// A leader that can't reach the state service goes on renewing leases for a
 			// bounded time, but launches nothing.
 			a, deposed := t.mgr.Report(now, r, via, t.mayPromise(now))
@@ -354,9 +364,6 @@
 	if w := t.mgr.NextWrite(now); w != nil {
 		n.start(func() { t.write(ctx, w) })
 	}
-	if int64(now) >= t.answer.Load() {
-		return
-	}
 	for _, d := range t.mgr.Directs(now, t.mayPromise(now)) {
 		n.start(func() {
 			executed, r, err := n.workers.Do(ctx, d.Addr, d.Body)
