--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -98,7 +98,9 @@
 	mc.session, mc.seq = r.Session, r.Seq
 	mc.addr, mc.typ, mc.zone, mc.spot = r.Addr, r.Type, r.Zone, r.Spot
 	mc.spec = m.types[mc.typ]
-	mc.lastHeard = now
+	if unasked {
+		mc.lastHeard = now // one that reports to nobody is of no use, whatever it answers
+	}
 	mc.directOK = mc.directOK || mc.via == "" || !unasked
 	mc.confirmed = r.Token == m.cfg.Token
 	if r.NoticeS != nil {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -26,9 +26,11 @@
 	change   chan struct{}
 	outage   bool
 	refused  map[string]bool
-	lateFor  time.Duration // the next transaction that changes a key with latePrefix
-	late     string        // is applied this much later, and its answer is lost
-	lost     string        // the next such transaction is applied, its answer lost
+	lateFor  time.Duration // the next transactions that change a key with this prefix
+	late     string        // are applied this much later, and their answers are lost
+	lost     string        // the next such transactions are applied, their answers lost
+	lateLeft int
+	lostLeft int
 	limits   StateLimits
 	tokens   float64 // changes that may be made at once
 	filled   time.Time
@@ -78,20 +80,20 @@
 	s.signal()
 }
 
-// Late holds the next transaction that changes a key with the prefix back: it is
-// applied after the time given, if its conditions hold then; its answer is lost.
-func (s *State) Late(prefix string, after time.Duration) {
+// Late holds the next transactions that change a key with the prefix back: they are
+// applied after the time given, if their conditions hold then; their answers are lost.
+func (s *State) Late(prefix string, after time.Duration, times int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.late, s.lateFor = prefix, after
+	s.late, s.lateFor, s.lateLeft = prefix, after, times
 }
 
-// LoseAnswer has the next transaction that changes a key with the prefix carried out
+// LoseAnswer has the next transactions that change a key with the prefix carried out
 // without an answer.
-func (s *State) LoseAnswer(prefix string) {
+func (s *State) LoseAnswer(prefix string, times int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost = prefix
+	s.lost, s.lostLeft = prefix, times
 }
 
 // Limit sets the limits. What is stored stays as it is.
@@ -233,12 +235,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	touches := func(prefix string) bool {
-		return prefix != "" && slices.ContainsFunc(t.Then, func(c wire.Change) bool {
+		return slices.ContainsFunc(t.Then, func(c wire.Change) bool {
 			return strings.HasPrefix(c.Put, prefix) || strings.HasPrefix(c.Delete, prefix)
 		})
 	}
-	if touches(s.late) {
-		s.late = ""
+	if s.lateLeft > 0 && touches(s.late) {
+		s.lateLeft--
 		time.AfterFunc(s.lateFor, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -251,8 +253,8 @@
 		return
 	}
 	code, body := s.apply(t)
-	if touches(s.lost) {
-		s.lost = ""
+	if s.lostLeft > 0 && touches(s.lost) {
+		s.lostLeft--
 		panic(http.ErrAbortHandler)
 	}
 	reply(w, code, body)
