--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -541,7 +541,7 @@
 	case "sicken":
 		wk.Sicken()
 	case "keep":
-		wk.Keep()
+		wk.Keep(times(f[1:]))
 	case "deliver":
 		wk.Deliver()
 	case "die":
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,7 +37,7 @@
 	line              line         // used by the one report in flight
 	mail              *http.Client // outlives the machine, as late copies do
 	copies, repeats   time.Duration
-	keeping           bool
+	toKeep            int
 	kept              [][]byte // copies of reports, to be delivered when told to
 	inbox             chan func()
 	cancel            context.CancelFunc
@@ -141,8 +141,8 @@
 // Repeats has a copy of every direct order that is carried out arrive late as well.
 func (w *Worker) Repeats(late time.Duration) { w.inbox <- func() { w.repeats = late } }
 
-// Keep has a copy of every report from now on be kept, for Deliver.
-func (w *Worker) Keep() { w.inbox <- func() { w.keeping = true } }
+// Keep has copies of the next reports be kept, for Deliver.
+func (w *Worker) Keep(reports int) { w.inbox <- func() { w.toKeep = reports } }
 
 // Deliver has the kept copies arrive at every controller.
 func (w *Worker) Deliver() {
@@ -152,7 +152,7 @@
 				go w.mailed(n.Addr, body)
 			}
 		}
-		w.keeping, w.kept = false, nil
+		w.toKeep, w.kept = 0, nil
 	}
 }
 
@@ -327,7 +327,8 @@
 	w.nextReport = now.Add(time.Duration(float64(w.cfg.Report) * (0.75 + rand.Float64()/2)))
 	body, session := w.describe(), w.session
 	addr := w.cfg.Nodes[w.node].Addr
-	if w.keeping && len(w.kept) < mostKept {
+	if w.toKeep > 0 {
+		w.toKeep--
 		w.kept = append(w.kept, body)
 	}
 	if w.copies > 0 {
@@ -339,8 +340,6 @@
 	}()
 }
 
-const mostKept = 20
-
 func (w *Worker) describe() []byte {
 	w.seq++
 	r := wire.Report{Machine: w.id, Addr: w.ip + ":9000", Type: w.typ, Zone: w.zone, Spot: w.spot, Session: w.session,
