A caretaker makes late launches of cancelled jobs known; deletions are forgotten after a relist

Cause: found by reading. A launch held back on its way to a machine, the leader cut off from all but the state service, the job cancelled: the caretaker that keeps the machine's session alive knew only the tasks that the worker lists. When the network was whole again after more than cancel_s, the launch arrived and started the task. The caretaker now reads the recorded attempts of jobs that are over, and gives a worker that doesn't know one of them launch and stop in one answer, as the leader does; when that can't be in time any more, it lets the session end.

Before: care-late-launch.txtar fails, four times of four; after: passes, four times. A watch that has to be read anew left deletions in memory for the rest of the term; they are forgotten up to the list's revision.

--- a/caretaker.go
+++ b/caretaker.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
+	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/state"
 	"saffronbend/wire"
@@ -12,7 +14,8 @@
 
 // caretaker keeps workers' leases alive under the leader's token while that leader can't
 // be reached from here, as when the zones are cut apart: an answer with the token counts
-// whichever controller gives it. It starts nothing; it only stops what has been cancelled.
+// whichever controller gives it. It starts nothing; it only stops what has been cancelled, and has the worker know
+// attempts of it whose launch may yet arrive, so that it does not start them then.
 //
 // The leader takes a worker's lease for run out when it alone has renewed it. So a
 // caretaker first writes down that it renews, on condition that the leader's key still
@@ -25,6 +28,17 @@
 	until    micros.Time     // answers may be given before this
 	over     map[string]bool // jobs that are over
 	resolved resolved        // that these are known
+	// placed are the recorded attempts of these jobs by machine: a launch of one may yet arrive there, for as
+	// long as the session lasts that we keep alive.
+	placed map[string][]placed
+}
+
+// placed is an attempt of a job that is over; until then its launch and stop are given to a worker that does not
+// know it.
+type placed struct {
+	job, task        string
+	attempt, session uint64
+	until            micros.Time
 }
 
 const (
@@ -102,17 +116,20 @@
 		return func() {}, err
 	}
 	c.mu.Lock()
-	c.over = map[string]bool{}
+	c.over, c.placed = map[string]bool{}, map[string][]placed{}
 	c.mu.Unlock()
-	c.heed(all)
 	ctx, stop = context.WithCancel(ctx)
-	c.n.start(func() { c.n.watchOpen(ctx, from, c.heed) })
+	c.n.start(func() {
+		c.heed(ctx, all)
+		c.n.watchOpen(ctx, from, func(u openNews) { c.heed(ctx, u) })
+	})
 	return stop, nil
 }
 
-func (c *caretaker) heed(u openNews) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// heed takes news of the open records. They count as known once the attempts of the jobs that are over are, too.
+func (c *caretaker) heed(ctx context.Context, u openNews) {
+	var over []string
+	var found []wire.Item
 	for _, it := range u.records {
 		var rec struct {
 			Over string `json:"over"`
@@ -120,16 +137,54 @@
 		if err := json.Unmarshal(it.Value, &rec); err != nil {
 			c.n.log.Error("an open record can't be read", "key", it.Key, "err", err)
 		}
-		if rec.Over != "" {
-			c.over[it.Key[len(state.OpenPrefix):]] = true
+		if rec.Over == "" {
+			continue
+		}
+		id := it.Key[len(state.OpenPrefix):]
+		over = append(over, id)
+		for {
+			chunks, _, err := c.n.state.List(ctx, state.ChunkPrefix+id+"/")
+			if err == nil {
+				found = append(found, chunks...)
+				break
+			}
+			if !sleep(ctx, 100*micros.Millisecond) {
+				return
+			}
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range over {
+		c.over[id] = true
+	}
+	for _, it := range found {
+		c.place(it)
+	}
 	for _, id := range u.removed {
 		delete(c.over, id)
+		for machine, ps := range c.placed {
+			c.placed[machine] = slices.DeleteFunc(ps, func(p placed) bool { return p.job == id })
+		}
 	}
 	c.resolved.advance(u.asked)
 }
 
+// place notes the attempts in a progress record of a job that is over. The job may have been cancelled as long
+// ago as the news before.
+func (c *caretaker) place(it wire.Item) {
+	id, _, ok := state.SplitChunkKey(it.Key)
+	var rec state.ChunkRecord
+	if err := json.Unmarshal(it.Value, &rec); err != nil || !ok {
+		c.n.log.Error("a progress record can't be read", "key", it.Key, "err", err)
+		return
+	}
+	until := c.resolved.at.Add(manager.LaunchToStop(micros.Seconds(c.n.set.Deployment.Workers.CancelS)))
+	for _, p := range rec.Active {
+		c.placed[p.Machine] = append(c.placed[p.Machine], placed{id, wire.TaskName(id, p.Task), p.Attempt, p.Session, until})
+	}
+}
+
 // answer renews a worker's lease, if it may.
 func (c *caretaker) answer(r *wire.Report) *wire.ReportAnswer {
 	now := c.n.clock.Now()
@@ -144,5 +199,15 @@
 			a.Commands = append(a.Commands, wire.StopCommand(t.Task, t.Attempt, 0))
 		}
 	}
+	for _, p := range c.placed[r.Machine] {
+		knows := func(t wire.TaskReport) bool { return t.Task == p.task && t.Attempt == p.attempt }
+		switch {
+		case p.session != r.Session || slices.ContainsFunc(r.Tasks, knows):
+		case now < p.until:
+			a.Commands = append(a.Commands, wire.Command{Op: wire.OpStart, Task: p.task, Attempt: p.attempt}, wire.StopCommand(p.task, p.attempt, 0))
+		default:
+			return nil // only the end of its session makes sure that no late launch starts it
+		}
+	}
 	return a
 }
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -452,6 +452,11 @@
 	}
 }
 
+// RemovedBefore forgets the deletions up to a revision: the watch goes on from there.
+func (m *Manager) RemovedBefore(revision uint64) {
+	maps.DeleteFunc(m.removed, func(_ string, v uint64) bool { return v <= revision })
+}
+
 func (m *Manager) stopAll(now micros.Time, j *job) {
 	if j.gang != nil {
 		j.gang.End()
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -11,6 +11,10 @@
 // answerLife is how long after its report a worker heeds an answer.
 const answerLife = 4 * micros.Second
 
+// LaunchToStop is how long after its cancellation at the earliest an attempt may be launched and stopped in one answer, so that
+// a late launch finds it known: the worker must have heard the answer before the job's time is up.
+func LaunchToStop(cancel micros.Span) micros.Span { return cancel - answerLife - micros.Second }
+
 // orders makes the commands that answer a report.
 func (m *Manager) orders(now micros.Time, mc *machine, r *wire.Report, launch bool) []wire.Command {
 	cmds := []wire.Command{}
@@ -52,7 +56,7 @@
 			// the same answer and never cleared. A worker that has gone without an answer until the
 			// job's time is nearly up has begun a new session by then, since the time is longer than
 			// its lease; and answers are dropped after 4 s.
-			if a.job.over == "" || now < a.job.overAt.Add(m.cfg.Cancel-answerLife-m.cfg.Margin) {
+			if a.job.over == "" || now < a.job.overAt.Add(LaunchToStop(m.cfg.Cancel)) {
 				mc.tombs[tombKey{name, a.id}] = tomb{job: a.job}
 				a.sentSeq = r.Seq
 				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id}, wire.StopCommand(name, a.id, 0))
--- a/records.go
+++ b/records.go
@@ -155,6 +155,7 @@
 		for _, id := range u.removed {
 			t.mgr.JobRemoved(id)
 		}
+		t.mgr.RemovedBefore(u.whole)
 		t.resolved.advance(u.asked)
 	})
 }
--- a/resolved.go
+++ b/resolved.go
@@ -24,6 +24,7 @@
 // openNews is what has become of the open records by the time at which that was asked for.
 type openNews struct {
 	asked   micros.Time
+	whole   uint64 // records are all that there were at this revision, 0: what has changed
 	records []wire.Item
 	removed []string // jobs
 }
@@ -46,6 +47,7 @@
 			}
 		case errors.Is(err, state.ErrCompacted):
 			u.records, from, err = n.state.List(ctx, state.OpenPrefix)
+			u.whole = from
 		}
 		if err == nil {
 			heed(u)
