--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -833,3 +833,78 @@
 	b.tick()
 	b.want(b.grant("run-1", "n-2-a", 1), 1)
 }
+
+// A session that the answer to a direct order shows first lives for a whole lease, though nobody answers its reports. It is
+// not taken for ended before, and its machine is not asked again and again.
+func TestSessionShownByDirectOrder(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.m.Listed(b.now, []wire.Machine{{ID: "n-1-a", Addr: "10.1.0.1:9000", Type: "small", Zone: "a", State: wire.MachineRunning}})
+	b.wait(lease + 2*micros.Second)
+	b.tick()
+	b.want(b.m.machines["n-1-a"].up, false)
+	out := b.m.Directs(b.now, true)
+	b.want(len(out), 1)
+	b.seq++
+	b.m.DirectDone(b.now, out[0], DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 2, Seq: b.seq, Token: token})
+	b.tick()
+	b.want(b.m.machines["n-1-a"].up, true)
+	b.wait(lease)
+	b.tick()
+	b.want(b.m.machines["n-1-a"].up, true)
+	b.want(b.report("n-1-a", token, 2), "")
+	b.wait(lease + 2*micros.Second)
+	b.tick()
+	b.want(b.m.machines["n-1-a"].up, false)
+	// An answer of the session that has ended brings nothing, and no second question at once.
+	out = b.m.Directs(b.now, true)
+	b.want(len(out), 1)
+	b.seq++
+	b.m.DirectDone(b.now, out[0], DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 2, Seq: b.seq, Token: token})
+	b.want(len(b.m.Directs(b.now, true)), 0)
+}
+
+// A write that places tasks is conditioned on their job's being open, one that only books progress is not.
+func TestPlacementNeedsOpenJob(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.up("n-1-a")
+	b.job("run-1", 1, nil)
+	b.job("run-2", 1, nil)
+	b.grant("run-1", "n-1-a", 1)
+	w := b.m.NextWrite(b.now)
+	b.want(len(w.Open), 1)
+	b.want(w.Open[0].Key, state.OpenKey("run-1"))
+	b.want(w.Open[0].Version, b.rev-1)
+	// It was cancelled through another controller: the write fails, and is not made again.
+	rec := record("run-1", 1, nil).Closed(wire.JobCancelled)
+	b.rev++
+	b.m.JobChanged(b.now, b.now, 0, rec, b.rev)
+	b.m.WriteConflict(b.now, w.ID)
+	w = b.m.NextWrite(b.now)
+	b.want(w != nil && len(w.Open) > 0, false)
+	b.want(len(b.m.Directs(b.now, true)), 0)
+}
+
+// How long a late launch of a cancelled job can still be made known counts from the earliest moment at which its
+// cancellation can have been confirmed.
+func TestLateNewsOfCancellation(t *testing.T) {
+	for _, c := range []struct {
+		age  micros.Span
+		want int
+	}{{2 * micros.Second, 2}, {26 * micros.Second, 0}} {
+		b := newBench(t, nil, nil)
+		b.up("n-1-a")
+		b.job("run-1", 1, nil)
+		b.grant("run-1", "n-1-a", 1)
+		b.write()
+		d := b.m.Directs(b.now, true)
+		b.want(len(d), 1)
+		b.m.DirectDone(b.now, d[0], DirectUnknown, nil)
+		since := b.now
+		b.wait(c.age)
+		b.rev++
+		b.m.JobChanged(b.now, since, 0, record("run-1", 1, nil).Closed(wire.JobCancelled), b.rev)
+		got := b.report("n-1-a", token, 1)
+		b.want(strings.Count(got, "run-1/0"), c.want)
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -56,6 +57,7 @@
 		{`member = "two"`, `member = "one"`, "twice"},
 		{`lease_s = 10.0`, `lease_s = 1.0`, "lease_s"},
 		{`cancel_s = 30.0`, `cancel_s = 9.0`, "cancel_s"},
+		{`cancel_s = 30.0`, `cancel_s = 14.0`, "cancel_s is too short"},
 		{`rps = 200.0`, `rps = 0.0`, "state.rps"},
 		{`mem_mb = 200.0`, `mem_mb = -1.0`, "quota.mem_mb"},
 		{`max_connections = 500`, `max_connections = 0`, "max_connections"},
@@ -103,6 +105,21 @@
 	}
 }
 
+// A job cancelled just after the news on which a lease was renewed is off its worker in time, when leader and worker
+// both count slowly by as much as they may.
+func TestStalenessLeavesTimeForTheLease(t *testing.T) {
+	for _, cancel := range []float64{14.2, 30, 46.5, 300} {
+		s, err := Parse([]byte(strings.Replace(sound, "cancel_s = 30.0", fmt.Sprintf("cancel_s = %g", cancel), 1)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const slow = 1.0005
+		if gone := slow*s.MaxStaleness().Seconds() + slow*s.Lease().Seconds(); gone > cancel-0.9 {
+			t.Errorf("cancel_s %g: gone after %g s", cancel, gone)
+		}
+	}
+}
+
 // Limits that will come bind from the first start on, and only where they are lower.
 func TestLimitsToCome(t *testing.T) {
 	text := strings.Replace(sound, "txn_ops = 8", "txn_ops = 8\n[deployment.state.next]\nvalue_kb = 2.0\nwrite_rps = 90.0\ntxn_ops = 4", 1)
