A leader whose direct orders are all out looks at no machine for more

Cause: each turn of the leader sorted all machines with news before it found that no direct order was free.

Guarded by an allocation test.

--- a/internal/manager/bench_test.go
+++ b/internal/manager/bench_test.go
@@ -100,3 +100,16 @@
 		m.View(*now)
 	}
 }
+
+// BenchmarkDirectsAllOut is what the leader's every turn costs while as many direct orders as may be are out and 2,000
+// machines have news.
+func BenchmarkDirectsAllOut(b *testing.B) {
+	m, now, _ := largeFleet(b)
+	m.directs = m.cfg.Directs
+	for id := range m.machines {
+		m.direct[id] = true
+	}
+	for b.Loop() {
+		m.Directs(*now, true)
+	}
+}
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -621,6 +621,8 @@
 	out := b.m.Directs(b.now, true)
 	b.want(len(out), 2)
 	b.want(len(b.m.Directs(b.now, true)), 0)
+	// Every turn of the leader asks; while all are out that must cost nothing.
+	b.want(testing.AllocsPerRun(10, func() { b.m.Directs(b.now, true) }), 0.0)
 	b.m.DirectDone(b.now, out[0], DirectUnknown, nil)
 	out = b.m.Directs(b.now, true)
 	b.want(len(out), 1)
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -80,13 +80,13 @@
 // orders by which a machine may show that it hears us. A machine has one direct order
 // out at a time. Only machines with news since the last call are looked at.
 func (m *Manager) Directs(now micros.Time, launch bool) []Direct {
-	if len(m.direct) == 0 {
-		return nil
+	if len(m.direct) == 0 || m.directs >= m.cfg.Directs {
+		return nil // what is marked stays so; what is not sent goes with answers to reports
 	}
 	var out []Direct
 	for _, id := range slices.Sorted(maps.Keys(m.direct)) {
 		if m.directs >= m.cfg.Directs {
-			break // the rest stays marked; what is not sent goes with answers to reports
+			break
 		}
 		delete(m.direct, id)
 		mc := m.machines[id]
