A caretaker's first list: what is known of cancellations begins anew with it

A second spell of care began with the timestamp of the first, but with no list yet: for a moment a lease could have been renewed without the stops that belong to it. Timestamp and list now begin together, and a zero timestamp is no news. Of jobs that the first list finds over, only those that the leader's last view still showed can have launches on their way that it does not know to be late: their cancellation is dated by that view, the others are left to the leader. Before, the first list had each machine with an old record of such a job go without answers.

--- a/caretaker.go
+++ b/caretaker.go
@@ -116,7 +116,7 @@
 		return func() {}, err
 	}
 	c.mu.Lock()
-	c.over, c.placed = map[string]bool{}, map[string][]placed{}
+	c.over, c.placed, c.resolved = map[string]bool{}, map[string][]placed{}, resolved{}
 	c.mu.Unlock()
 	ctx, stop = context.WithCancel(ctx)
 	c.n.start(func() {
@@ -126,10 +126,25 @@
 	return stop, nil
 }
 
+// since is the earliest moment at which a job that is found to be over can have been cancelled; known: it is none that
+// the leader itself has known of. At first there is only the leader's last view that was built on fresh news: what that
+// showed was not cancelled before.
+func (c *caretaker) since(id string) (at micros.Time, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.resolved.at != 0 {
+		return c.resolved.at, true
+	}
+	if p := c.n.progress.Load(); p != nil {
+		_, known = (*p)[id]
+	}
+	return micros.Time(c.n.viewed.Load()).Add(-permitLife), known
+}
+
 // heed takes news of the open records. They count as known once the attempts of the jobs that are over are, too.
 func (c *caretaker) heed(ctx context.Context, u openNews) {
 	var over []string
-	var found []wire.Item
+	found := map[string][]placed{}
 	for _, it := range u.records {
 		var rec struct {
 			Over string `json:"over"`
@@ -142,10 +157,13 @@
 		}
 		id := it.Key[len(state.OpenPrefix):]
 		over = append(over, id)
-		for {
+		since, known := c.since(id)
+		for known {
 			chunks, _, err := c.n.state.List(ctx, state.ChunkPrefix+id+"/")
 			if err == nil {
-				found = append(found, chunks...)
+				for _, chunk := range chunks {
+					c.find(found, id, chunk, since)
+				}
 				break
 			}
 			if !sleep(ctx, 100*micros.Millisecond) {
@@ -158,8 +176,8 @@
 	for _, id := range over {
 		c.over[id] = true
 	}
-	for _, it := range found {
-		c.place(it)
+	for machine, ps := range found {
+		c.placed[machine] = append(c.placed[machine], ps...)
 	}
 	for _, id := range u.removed {
 		delete(c.over, id)
@@ -170,18 +188,15 @@
 	c.resolved.advance(u.asked)
 }
 
-// place notes the attempts in a progress record of a job that is over. The job may have been cancelled as long
-// ago as the news before.
-func (c *caretaker) place(it wire.Item) {
-	id, _, ok := state.SplitChunkKey(it.Key)
+// find gives by machine the attempts in a progress record of a job that was cancelled at the given time at the earliest.
+func (c *caretaker) find(found map[string][]placed, id string, chunk wire.Item, since micros.Time) {
 	var rec state.ChunkRecord
-	if err := json.Unmarshal(it.Value, &rec); err != nil || !ok {
-		c.n.log.Error("a progress record can't be read", "key", it.Key, "err", err)
-		return
+	if err := json.Unmarshal(chunk.Value, &rec); err != nil {
+		c.n.log.Error("a progress record can't be read", "key", chunk.Key, "err", err)
 	}
-	until := c.resolved.at.Add(manager.LaunchToStop(micros.Seconds(c.n.set.Deployment.Workers.CancelS)))
+	until := since.Add(manager.LaunchToStop(micros.Seconds(c.n.set.Deployment.Workers.CancelS)))
 	for _, p := range rec.Active {
-		c.placed[p.Machine] = append(c.placed[p.Machine], placed{id, wire.TaskName(id, p.Task), p.Attempt, p.Session, until})
+		found[p.Machine] = append(found[p.Machine], placed{id, wire.TaskName(id, p.Task), p.Attempt, p.Session, until})
 	}
 }
 
--- a/resolved.go
+++ b/resolved.go
@@ -18,8 +18,8 @@
 
 func (r *resolved) advance(asked micros.Time) { r.at = max(r.at, asked) }
 
-// within tells whether the news are no older than a span.
-func (r *resolved) within(now micros.Time, s micros.Span) bool { return now.Sub(r.at) < s }
+// within tells whether there are news, and no older than a span.
+func (r *resolved) within(now micros.Time, s micros.Span) bool { return r.at != 0 && now.Sub(r.at) < s }
 
 // openNews is what has become of the open records by the time at which that was asked for.
 type openNews struct {
