--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -529,6 +529,9 @@
 
 func (w *world) machineFault(what string, f []string) error {
 	wk := w.cloud.Worker(f[0])
+	if wk == nil && what == "resume" {
+		return nil // it is gone
+	}
 	if wk == nil {
 		return fmt.Errorf("no machine %q", f[0])
 	}
