A direct order's answer may cross a report: the report is answered, and proves less than a report

Two faults in one place, the order of a worker's messages. - The answer to a direct order has a later number than the worker's report that is under way, and not seldom comes first. The report then counted as a late copy and got 503, so the worker paused for a second and left for another controller, whose relayed reports made the leader probe it. The worker may have given it before it had that answer. By reading; the new test fails with the code before (its attempt was dropped, so its task could have been started elsewhere while the launch was under way). The number of the newest report is kept besides that of the newest message; the proof counts reports only.

--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -136,7 +136,8 @@
 	state               string // as listed
 	born                micros.Time
 	up                  bool
-	session, seq        uint64
+	session, seq        uint64 // of the newest message, report or answer to a direct order
+	reportSeq           uint64 // of the newest report of the session
 	deadSession         uint64
 	confirmed           bool // has seen our token, so only our answers renew its lease
 	lastReport          micros.Time
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -265,6 +265,43 @@
 	b.want(b.reportAs(49, "n-1-a", token, 1), "dropped")
 }
 
+// A report that was overtaken by the answer to a direct order is answered, or its worker would leave us. A copy of it is not.
+func TestReportOvertakenByDirectAnswer(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	running := fmt.Sprintf("run-1/0 %d running", first)
+	b.m.DirectDone(b.now, b.m.Directs(b.now, true)[0], DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: 51, Token: token,
+		Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: first, State: wire.TaskRunning}}})
+	b.want(b.reportAs(50, "n-1-a", token, 1), "")
+	b.want(b.reportAs(50, "n-1-a", token, 1), "dropped")
+	b.want(b.reportAs(51, "n-1-a", token, 1, running), "dropped")
+	b.want(b.reportAs(52, "n-1-a", token, 1, running), "")
+}
+
+// The answer to a direct order may have been given before the worker had our answer to its last report. It does not show
+// that an attempt is gone that this answer launches.
+func TestDirectAnswerBeforeLaunchInAnswer(t *testing.T) {
+	b := newBench(t, nil, nil)
+	b.placed()
+	b.m.DirectDone(b.now, b.m.Directs(b.now, true)[0], DirectNotSent, nil)
+	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
+	b.job("run-2", 1, nil)
+	b.want(b.grant("run-2", "n-1-a", 1), 1)
+	b.write()
+	out := b.m.Directs(b.now, true)
+	b.want(len(out), 1)
+	rec := record("run-1", 1, nil)
+	rec.Over = wire.JobCancelled
+	b.rev++
+	b.m.JobChanged(b.now, b.now, 0, rec, b.rev)
+	b.seq++
+	b.m.DirectDone(b.now, out[0], DirectExecuted, &wire.Report{Machine: "n-1-a", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Token: token,
+		Tasks: []wire.TaskReport{{Task: "run-2/0", Attempt: first + 1, State: wire.TaskRunning}}})
+	b.want(len(b.m.machines["n-1-a"].attempts), 2)
+	b.report("n-1-a", token, 1, fmt.Sprintf("run-2/0 %d running", first+1))
+	b.want(len(b.m.machines["n-1-a"].attempts), 1)
+}
+
 // A machine that loses its lease though we answer it does not hear us. It gets nothing
 // until something shows that it does: here, that it carries out an empty order.
 func TestDeafMachineGetsNothing(t *testing.T) {
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -24,7 +24,12 @@
 	old := m.machines[r.Machine]
 	stays := via != "" && old != nil && old.via == via && old.session == r.Session && old.seq+1 == r.Seq
 	mc := m.take(now, r, true)
-	if mc == nil {
+	overtaken := mc == nil && m.overtaken(r)
+	switch {
+	case overtaken:
+		mc = old
+		mc.reportSeq, mc.lastHeard = r.Seq, now
+	case mc == nil:
 		return nil, false
 	}
 	if stays {
@@ -41,7 +46,19 @@
 	}
 	mc.via = via
 	mc.lastReport, mc.renewed = now, now
-	return &wire.ReportAnswer{Token: m.cfg.Token, Commands: m.orders(now, mc, r, launch)}, false
+	commands := []wire.Command{}
+	if !overtaken {
+		commands = m.orders(now, mc, r, launch)
+	}
+	return &wire.ReportAnswer{Token: m.cfg.Token, Commands: commands}, false
+}
+
+// overtaken tells whether a report is older only than the answer to a direct order that its worker gave after
+// sending it. The worker still waits for its answer, and without one would leave for another controller. What the
+// report says is known better by now, so the answer carries no commands.
+func (m *Manager) overtaken(r *wire.Report) bool {
+	mc := m.machines[r.Machine]
+	return mc != nil && r.Session == mc.session && r.Session > mc.deadSession && r.Seq > mc.reportSeq && r.Seq < mc.seq
 }
 
 // SendBack tells whether a machine whose reports are passed on has heard an order of our own
@@ -74,7 +91,7 @@
 		m.unheard(now, mc)
 	}
 	if r.Session > mc.session {
-		mc.renewed = now
+		mc.renewed, mc.reportSeq = now, 0
 		for _, a := range sorted(mc.attempts) {
 			if a.session < r.Session {
 				m.drop(now, a)
@@ -100,6 +117,7 @@
 	mc.spec = m.types[mc.typ]
 	if unasked {
 		mc.lastHeard = now // one that reports to nobody is of no use, whatever it answers
+		mc.reportSeq = r.Seq
 	}
 	mc.directOK = mc.directOK || mc.via == "" || !unasked
 	mc.confirmed = r.Token == m.cfg.Token
@@ -197,9 +215,10 @@
 		}
 		// The worker has our token and does not know the attempt. An earlier leader's
 		// orders are fenced off, so its attempt is gone. Our own may be in flight: in
-		// the answer to this very report, or in a direct order of unknown outcome.
+		// the answer to its newest report, or in a direct order of unknown outcome. An answer
+		// to a direct order may be newer than that report and not than the worker's having our answer to it.
 		sent := a.sentSeq != 0 || a.directOut || a.directLost
-		if !a.ours || a.stop && sent && a.sentSeq < r.Seq && !a.directOut && !a.directLost {
+		if !a.ours || a.stop && sent && a.sentSeq < mc.reportSeq && !a.directOut && !a.directLost {
 			m.drop(now, a)
 		}
 	}
