--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -27,12 +27,15 @@
 func Register(r *httprouter.Router, reporter Reporter) {
 	r.POST(wire.PathReport, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, 1<<20))
-		var rep wire.Report
-		if err != nil || json.Unmarshal(body, &rep) != nil || rep.Machine == "" {
+		var report *wire.Report
+		if err == nil {
+			report, err = wire.DecodeReport(body)
+		}
+		if err != nil {
 			http.Error(w, `{"error":"malformed report"}`, http.StatusBadRequest)
 			return
 		}
-		answer, leader := reporter.Report(req.Context(), &rep)
+		answer, leader := reporter.Report(req.Context(), report)
 		w.Header().Set("Content-Type", "application/json")
 		switch {
 		case answer != nil:
@@ -76,8 +79,7 @@
 	if status != http.StatusOK && status != http.StatusConflict {
 		return false, nil, fmt.Errorf("worker: status %d", status)
 	}
-	r = new(wire.Report)
-	if err := json.Unmarshal(body, r); err != nil {
+	if r, err = wire.DecodeReport(body); err != nil {
 		return false, nil, fmt.Errorf("worker: answer: %w", err)
 	}
 	return status == http.StatusOK, r, nil
--- /dev/null
+++ b/wire/report.go
@@ -0,0 +1,23 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/segmentio/encoding/json"
+)
+
+var errNoMachine = errors.New("the report names no machine")
+
+// DecodeReport reads a worker's report. Reports are by far the most frequent messages and list every task of a
+// machine, so they are decoded by a library that is several times faster than encoding/json.
+func DecodeReport(body []byte) (*Report, error) {
+	r := new(Report)
+	if err := json.Unmarshal(body, r); err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	if r.Machine == "" {
+		return nil, errNoMachine
+	}
+	return r, nil
+}
