A controller short of processor keeps its term: reports in batches, launches with answers, machines as the processor allows

Logged in trials: 400 to 500 runnable goroutines, nearly all of them workers' requests; requests to the state service fell from 63 to 10 in 4 s, users' to none, while 320 reports a second were answered. Go's scheduler has no priorities and looks for network events only when nothing is runnable, so renewals, streams and users came after all of them.

Without the option, max_machines is bounded by what reports the processor's share serves, 120 us each as measured on loopback.

--- a/follow.go
+++ b/follow.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"saffronbend/internal/ingress"
 	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
@@ -94,6 +95,7 @@
 	if r.Token != f.token || f.silent() {
 		return nil
 	}
+	ingress.Yield(ctx)
 	a, err := f.client.Relay(ctx, r)
 	if err != nil {
 		f.n.log.Debug("a report could not be passed on", "machine", r.Machine, "err", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -259,6 +259,10 @@
 	if d.Limits.MemoryMB < leastMemoryMB {
 		return fmt.Errorf("deployment.quota.mem_mb must be at least %d: the program itself needs as much", leastMemoryMB)
 	}
+	if s.servableMachines() < leastMachines {
+		return fmt.Errorf("deployment.quota.core_share must be at least %.4f: less does not suffice for the reports of %d machines",
+			leastMachines*reportCost/d.Workers.ReportS, leastMachines)
+	}
 	if d.Limits.MaxConnections < leastConnections {
 		return fmt.Errorf("deployment.quota.max_connections must be at least %d: none would be left for workers", leastConnections)
 	}
@@ -333,6 +337,21 @@
 	leastConnections                  = 64
 )
 
+// reportCost is the processor time in seconds that a worker's report costs the leader, measured on loopback with
+// the server's part in HTTP and all the system calls. Bursts, takeovers and placement come on top, in part at other reports' expense.
+const reportCost = 120e-6
+
+// leastMachines is how many machines a controller must be able to lead.
+const leastMachines = 10
+
+// servableMachines is how many machines can report as often as they should to a controller with its share of a processor.
+func (s *Settings) servableMachines() int {
+	return int(s.Deployment.Limits.CoreShare * s.Deployment.Workers.ReportS / reportCost)
+}
+
+// connectableMachines is how many machines can keep a connection to the leader without users being short of them.
+func (s *Settings) connectableMachines() int { return s.Deployment.Limits.MaxConnections * 3 / 4 }
+
 // Tight says where the settings work but leave little room.
 func (s *Settings) Tight() []string {
 	var out []string
@@ -340,7 +359,10 @@
 	if need := leastMemoryMB + n*memoryMBPerMachine; need > l.MemoryMB*memoryShare {
 		out = append(out, fmt.Sprintf("%d machines may need %.0f MB of memory, the share of quota.mem_mb to be used is %.0f", s.Tuning.MaxMachines, need, l.MemoryMB*memoryShare))
 	}
-	if s.Tuning.MaxMachines > l.MaxConnections*3/4 {
+	if most := s.servableMachines(); s.Tuning.MaxMachines > most {
+		out = append(out, fmt.Sprintf("max_machines is %d: quota.core_share suffices for the reports of %d", s.Tuning.MaxMachines, most))
+	}
+	if s.Tuning.MaxMachines > s.connectableMachines() {
 		out = append(out, fmt.Sprintf("max_machines is %d: more than three quarters of quota.max_connections leaves few for users", s.Tuning.MaxMachines))
 	}
 	// A stop may have to wait for a report, and a direct order that gets no answer takes 2 s.
@@ -394,7 +416,7 @@
 		Grace:        span(o.GraceS, 20, "grace_s"),
 		RoundBudget:  span(o.RoundBudgetS, 0.02, "round_budget_s"),
 		PreemptAfter: span(o.PreemptAfterS, 1, "preempt_after_s"),
-		MaxMachines:  count(o.MaxMachines, uint32(max(1, s.Deployment.Limits.MaxConnections*3/4)), 100000, "max_machines"),
+		MaxMachines:  count(o.MaxMachines, uint32(max(1, min(s.connectableMachines(), s.servableMachines()))), 100000, "max_machines"),
 		IdleReturn:   span(o.IdleReturnS, 30, "idle_return_s"),
 		BootPatience: num(o.BootPatience, 3, 1, 100, "boot_patience"),
 		SilentReturn: span(o.SilentReturnS, 3*lease, "silent_return_s"),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -60,6 +60,7 @@
 		{`cancel_s = 30.0`, `cancel_s = 14.0`, "cancel_s is too short"},
 		{`rps = 200.0`, `rps = 0.0`, "state.rps"},
 		{`mem_mb = 200.0`, `mem_mb = -1.0`, "quota.mem_mb"},
+		{`core_share = 1.0`, `core_share = 0.0005`, "core_share must be at least 0.0006"},
 		{`max_connections = 500`, `max_connections = 0`, "max_connections"},
 		{`max_connections = 500`, `max_connections = 50`, "left for workers"},
 		{`mem_mb = 200.0`, `mem_mb = 8.0`, "the program itself"},
@@ -93,6 +94,8 @@
 		{"", "", "", ""},
 		{`mem_mb = 200.0`, `mem_mb = 40.0`, "", "memory"},
 		{"", "", "max_machines: 450", "few for users"},
+		{`core_share = 1.0`, `core_share = 0.012`, "max_machines: 201", "core_share suffices for the reports of 200"},
+		{`core_share = 1.0`, `core_share = 0.012`, "max_machines: 200", ""},
 		{`cancel_s = 30.0`, "cancel_s = 30.0\ngang_peer_s = 3.0", "", "gang_peer_s"},
 	} {
 		s, err := Parse([]byte(strings.Replace(sound, c.old, c.new, 1)), []byte(c.options))
@@ -105,6 +108,19 @@
 	}
 }
 
+// Without the option there are no more machines than connections and processor allow.
+func TestMachinesWithinLimits(t *testing.T) {
+	for share, want := range map[string]int{"1.0": 375, "0.012": 200} {
+		s, err := Parse([]byte(strings.Replace(sound, "core_share = 1.0", "core_share = "+share, 1)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Tuning.MaxMachines != want {
+			t.Errorf("core_share %s: %d machines, want %d", share, s.Tuning.MaxMachines, want)
+		}
+	}
+}
+
 // A job cancelled just after the news on which a lease was renewed is off its worker in time, when leader and worker
 // both count slowly by as much as they may.
 func TestStalenessLeavesTimeForTheLease(t *testing.T) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -14,6 +14,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"saffronbend/internal/call"
+	"saffronbend/internal/ingress"
 	"saffronbend/wire"
 )
 
@@ -26,6 +27,7 @@
 // Register adds the workers' interface to a router.
 func Register(r *httprouter.Router, reporter Reporter) {
 	r.POST(wire.PathReport, func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+		ingress.LowPriority(req.Context())
 		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, 1<<20))
 		var report *wire.Report
 		if err == nil {
--- a/node.go
+++ b/node.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"saffronbend/internal/api"
 	"saffronbend/internal/cloud"
 	"saffronbend/internal/election"
+	"saffronbend/internal/ingress"
 	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
@@ -160,7 +162,15 @@
 	}()
 }
 
-// serve serves users, workers and health checks.
+// How many workers' reports are admitted together for each processor, and how long others wait: a worker gives up
+// after 4 s. In smaller batches, or with less patience, more workers lose their leases in a flood; in larger ones the
+// controller's own duties wait for longer, and more leaders lose their term.
+const (
+	reportBatch    = 32
+	reportPatience = 3800 * time.Millisecond
+)
+
+// serve serves users, workers and health checks. Reports are many and regular; everything else goes before them.
 func (n *Node) serve(ctx context.Context, l net.Listener) error {
 	r := httprouter.New()
 	// Users do not follow redirects.
@@ -169,9 +179,15 @@
 	worker.Register(r, n)
 	// What the controller opens itself comes out of the same limit.
 	own := 40 + n.set.Deployment.Limits.MaxConnections/8
-	conns := newConns(max(16, n.set.Deployment.Limits.MaxConnections-own))
+	limit := ingress.NewLimit(max(16, n.set.Deployment.Limits.MaxConnections-own))
+	admission := ingress.NewAdmission(reportBatch*runtime.GOMAXPROCS(0), reportPatience)
+	n.start(func() { admission.Run(ctx) })
 	srv := &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second,
-		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: conns.state,
+		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnContext: ingress.ConnContext,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			limit.ConnState(c, s)
+			admission.ConnState(c, s)
+		},
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	stop := context.AfterFunc(ctx, func() {
 		grace, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -181,7 +197,7 @@
 		}
 	})
 	defer stop()
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(admission.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
--- a/term.go
+++ b/term.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"saffronbend/internal/fleet"
+	"saffronbend/internal/ingress"
 	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
@@ -36,6 +37,7 @@
 	alive    map[string]micros.Time // when each other controller asked last
 	shown    micros.Time
 	managed  micros.Time // when the fleet decided last
+	pace     pace
 	assign   map[string]string
 }
 
@@ -47,7 +49,7 @@
 
 func newTerm(n *Node, token uint64, depose func(string)) *term {
 	return &term{n: n, token: token, depose: depose, inbox: make(chan func(micros.Time), 256), ready: make(chan struct{}),
-		done: make(chan struct{}), subs: map[*subscriber]bool{}, alive: map[string]micros.Time{}}
+		done: make(chan struct{}), pace: pace{every: tickEvery}, subs: map[*subscriber]bool{}, alive: map[string]micros.Time{}}
 }
 
 const (
@@ -170,6 +172,12 @@
 
 // begun waits until the records are loaded.
 func (t *term) begun(ctx context.Context) bool {
+	select {
+	case <-t.ready:
+		return true
+	default:
+		ingress.Yield(ctx)
+	}
 	select {
 	case <-t.ready:
 		return true
@@ -312,6 +320,7 @@
 
 func (t *term) tick(ctx context.Context, now micros.Time) {
 	n := t.n
+	t.pace.tick(now)
 	t.mgr.Tick(now)
 	if t.mgr.CareWanted() {
 		n.start(func() { t.readCare(ctx) })
@@ -364,7 +373,9 @@
 	if w := t.mgr.NextWrite(now); w != nil {
 		n.start(func() { t.write(ctx, w) })
 	}
-	for _, d := range t.mgr.Directs(now, t.mayPromise(now)) {
+	// A direct launch takes several times the work of a report, whose answer can carry the launch too.
+	launchDirectly := t.mayPromise(now) && !t.pace.behind
+	for _, d := range t.mgr.Directs(now, launchDirectly) {
 		n.start(func() {
 			executed, r, err := n.workers.Do(ctx, d.Addr, d.Body)
 			if err != nil {
