--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -326,7 +326,7 @@
 
 func (p *pipe) read(b []byte) (int, error) {
 	for {
-		n, err, wake, deadline := p.tryRead(b)
+		n, wake, deadline, err := p.tryRead(b)
 		if n > 0 || err != nil || len(b) == 0 {
 			return n, err
 		}
@@ -347,20 +347,21 @@
 	}
 }
 
-func (p *pipe) tryRead(b []byte) (int, error, chan struct{}, time.Time) {
+// tryRead reads what there is; if there is nothing yet, wake is closed when that changes.
+func (p *pipe) tryRead(b []byte) (n int, wake chan struct{}, deadline time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case p.err != nil:
-		return 0, p.err, nil, time.Time{}
+		return 0, nil, time.Time{}, p.err
 	case len(p.buf) > 0:
 		n := copy(b, p.buf)
 		p.buf = p.buf[n:]
-		return n, nil, nil, time.Time{}
+		return n, nil, time.Time{}, nil
 	case p.end:
-		return 0, io.EOF, nil, time.Time{}
+		return 0, nil, time.Time{}, io.EOF
 	}
-	return 0, nil, p.wake, p.deadline
+	return 0, p.wake, p.deadline, nil
 }
 
 type conn struct {
