Near the memory limit a new job gets 503 with Retry-After instead of the process its end

Above 85% of quota.mem_mb (the runtime is told of 70%) submissions of new jobs are told to come back; what is known is answered as ever, malformed and impossible ones are refused as ever.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,6 +34,8 @@
 	Progress(id string) (done, running int)
 	// Healthy tells whether requests can be taken.
 	Healthy() bool
+	// ShortOfMemory tells whether nothing should be taken on that needs more memory.
+	ShortOfMemory() bool
 }
 
 // API is the users' interface.
@@ -127,6 +129,10 @@
 		a.refuseNew(ctx, w, job.ID, http.StatusUnprocessableEntity, why)
 		return
 	}
+	if a.info.ShortOfMemory() {
+		a.unlessKnown(ctx, w, job.ID, func() { later(w, "short of memory") })
+		return
+	}
 	limit := a.set.Deployment.State.Within().ValueKB
 	rec := state.OpenRecord{Job: *job, Accepted: a.wall(), Chunk: state.ChunkSize(job.Kind, limit)}
 	open, err := json.Marshal(rec)
@@ -173,16 +179,21 @@
 
 const tooLong = "the description is too long"
 
-// refuseNew refuses a submission for good. A job that was accepted once is never refused
-// afterwards, whatever limits have changed since.
+// refuseNew refuses a submission for good.
 func (a *API) refuseNew(ctx context.Context, w http.ResponseWriter, id string, code int, why string) {
+	a.unlessKnown(ctx, w, id, func() { refuse(w, code, why) })
+}
+
+// unlessKnown answers a submission that can't be accepted now. A job that was accepted once is never refused afterwards,
+// whatever has changed since.
+func (a *API) unlessKnown(ctx context.Context, w http.ResponseWriter, id string, refuseIt func()) {
 	switch st, err := a.read(ctx, id); {
 	case err != nil:
 		later(w, "the state service does not answer")
 	case st != "":
 		a.tell(w, http.StatusOK, id, st)
 	default:
-		refuse(w, code, why)
+		refuseIt()
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -376,6 +376,15 @@
 // its own needs and the kernel's buffers.
 const memoryShare = 0.7
 
+// fullShare is the part of the memory limit above which nothing new is taken on: the collector has not kept the process
+// within what the runtime was told of, and the platform ends one that exceeds the limit.
+const fullShare = 0.85
+
+// MemoryFull is how much memory the process may hold, in bytes, while it takes on anything new.
+func (s *Settings) MemoryFull() uint64 {
+	return uint64(s.Deployment.Limits.MemoryMB * fullShare * (1 << 20))
+}
+
 // Memory is how much the runtime may use, in bytes.
 func (s *Settings) Memory() int64 {
 	return int64(s.Deployment.Limits.MemoryMB * memoryShare * (1 << 20))
