--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -129,7 +129,10 @@
 
 // take books as many of the wanted tasks as fit, also into room to come, and gives their
 // number.
-func (b *bin) take(w *want) int {
+func (b *bin) take(w *want) int { return b.takeUpTo(w, w.n, w.inZone[b.zone]) }
+
+// takeUpTo is take for at most so many tasks, when the job has the given number in the bin's zone.
+func (b *bin) takeUpTo(w *want, most, inZone int) int {
 	if b.keep != "" && b.keep != w.ID {
 		return 0
 	}
@@ -142,9 +145,9 @@
 	default:
 		have = have.Plus(b.later, 1)
 	}
-	n := have.Holds(w.Space, w.n)
+	n := have.Holds(w.Space, most)
 	if w.ZoneMax > 0 {
-		n = min(n, w.ZoneMax-w.inZone[b.zone])
+		n = min(n, w.ZoneMax-inZone)
 	}
 	if n <= 0 {
 		return 0
@@ -365,26 +368,28 @@
 	const steps, perStep, perRequest = 24, 8, 50
 	rents := map[place]int{}
 	var order []place
+	// How many of each of the wanted tasks are left, in the place that is weighed and in the best one so far.
+	left, bestLeft := make([]int, len(short)), make([]int, len(short))
 	for range steps {
-		left := f.cfg.Tuning.MaxMachines - count
-		if len(short) == 0 || left <= 0 {
+		machinesLeft := f.cfg.Tuning.MaxMachines - count
+		if len(short) == 0 || machinesLeft <= 0 {
 			break
 		}
 		var best place
-		var bestRest []*want
 		bestN, bestCost := 0, 0.0
 		for i := range f.types {
 			t := &f.types[i]
 			for _, z := range t.Zones {
 				for _, spot := range []bool{true, false} {
 					p := place{t.Name, z, spot}
-					room := min(left, perStep, perRequest-rents[p])
+					room := min(machinesLeft, perStep, perRequest-rents[p])
 					if now < f.refused[p] || f.asking(p) || room <= 0 {
 						continue
 					}
-					cost, n, rest := f.weigh(t, p, short, room)
+					cost, n := f.weigh(t, p, short, room, left)
 					if n > 0 && (bestN == 0 || cost < bestCost) {
-						best, bestCost, bestN, bestRest = p, cost, n, rest
+						best, bestCost, bestN = p, cost, n
+						left, bestLeft = bestLeft, left
 					}
 				}
 			}
@@ -397,7 +402,7 @@
 		}
 		rents[best] += bestN
 		count += bestN
-		short = bestRest
+		short = stillWanted(short, bestLeft, best.zone)
 	}
 	for _, p := range order {
 		f.serial++
@@ -417,46 +422,65 @@
 	return false
 }
 
-// weigh fills up to most new machines of a place and gives the price for each processor
-// second that they would do, boot included, their number, and what is left to place.
-func (f *Fleet) weigh(t *wire.MachineType, p place, short []*want, most int) (cost float64, n int, rest []*want) {
+// stillWanted gives what is left of the wanted tasks when so many of each are, and the others have found room in a zone.
+func stillWanted(short []*want, left []int, zone string) []*want {
+	var rest []*want
+	for i, w := range short {
+		switch {
+		case left[i] == w.n:
+			rest = append(rest, w)
+		case left[i] > 0:
+			rest = append(rest, w.less(zone, w.n-left[i]))
+		}
+	}
+	return rest
+}
+
+// weigh fills up to most new machines of a place and gives the price for each processor second that they would do, boot
+// included, and their number. It says in left how many of each of the wanted tasks then are left.
+func (f *Fleet) weigh(t *wire.MachineType, p place, short []*want, most int, left []int) (cost float64, n int) {
+	smallest := math.Inf(1)
+	for i, w := range short {
+		left[i] = w.n
+		smallest = min(smallest, w.CPUs)
+	}
 	work, longest := 0.0, 0.0
-	rest = short
 	for n < most {
 		b := newBin(t, p)
-		var left []*want
-		for _, w := range rest {
-			got := 0
-			if p.spot || !w.expected || !w.Spot {
-				got = b.take(w)
+		for i, w := range short {
+			if full := b.room.CPUs < smallest-rounding; full {
+				break
+			}
+			if left[i] == 0 || w.expected && w.Spot && !p.spot {
+				continue
 			}
+			got := b.takeUpTo(w, left[i], w.inZone[p.zone]+w.n-left[i])
 			if got == 0 {
-				left = append(left, w)
 				continue
 			}
+			left[i] -= got
 			work += float64(got) * w.CPUs * w.Estimate.Seconds()
 			longest = max(longest, w.Estimate.Seconds())
-			if got < w.n {
-				left = append(left, w.less(p.zone, got))
-			}
 		}
 		if !b.used {
 			break
 		}
 		n++
-		rest = left
 	}
 	if n == 0 {
-		return 0, 0, rest
+		return 0, 0
 	}
 	price := t.Price
 	if p.spot {
 		price = t.SpotPrice
 	}
 	held := max(60, t.BootS+longest+f.cfg.Tuning.IdleReturn.Seconds())
-	return price * float64(n) * held / max(work, 1e-6), n, rest
+	return price * float64(n) * held / max(work, 1e-6), n
 }
 
+// rounding is less than any amount of processors that makes a difference.
+const rounding = 1e-6
+
 // returnIdle returns machines that nothing needs. Ordinary machines go sooner where
 // they cost more.
 func (f *Fleet) returnIdle(v *manager.View, bins []*bin, short bool, acts *Actions) {
--- a/internal/manager/bench_test.go
+++ b/internal/manager/bench_test.go
@@ -113,3 +113,26 @@
 		m.Directs(*now, true)
 	}
 }
+
+// BenchmarkKeepRoom is what the leader does twice a second while eight jobs of large tasks have waited for long and all machines
+// are full of small ones.
+func BenchmarkKeepRoom(b *testing.B) {
+	m, now, next := largeFleet(b)
+	for j := range keepFor {
+		rec := record(fmt.Sprintf("run-%06d", 900+j), 100, func(jb *wire.Job) { jb.CPUs = 32 })
+		m.JobChanged(*now, *now, 0, rec, uint64(5000+j))
+	}
+	*now = now.Add(micros.Minute)
+	for range m.machines {
+		m.Report(*now, next(), "", true)
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		m.KeepRoom(*now)
+		b.StopTimer()
+		for _, mc := range m.machines {
+			mc.keep = ""
+		}
+		b.StartTimer()
+	}
+}
--- a/internal/manager/keep.go
+++ b/internal/manager/keep.go
@@ -48,14 +48,17 @@
 			}
 			continue
 		}
-		for kept < max(1, usable/keepShare) && mine[j.rec.Job.ID] < min(j.waiting, m.room(j)) {
-			mc := m.soonest(now, j, "")
-			if mc == nil {
-				break
-			}
+		most, wanted := max(1, usable/keepShare), min(j.waiting, m.room(j))
+		if kept >= most || mine[j.rec.Job.ID] >= wanted {
+			continue
+		}
+		for _, mc := range m.soonest(now, j, "") {
 			m.keep(mc, j)
 			mine[mc.keep] += mc.holds(j)
 			kept++
+			if kept >= most || mine[mc.keep] >= wanted {
+				break
+			}
 		}
 	}
 }
@@ -94,9 +97,11 @@
 			best, found = zone, true
 		}
 	}
-	for found && mine < j.waiting {
-		mc := m.soonest(now, j, best)
-		if mc == nil {
+	if !found {
+		return 0
+	}
+	for _, mc := range m.soonest(now, j, best) {
+		if mine >= j.waiting {
 			break
 		}
 		m.keep(mc, j)
@@ -121,22 +126,29 @@
 	return Whole(mc.spec).Holds(Need(&j.rec.Job), wire.MaxTasks)
 }
 
-// soonest is the machine on which a task of the job should find room first, by the
-// owners' estimates, when nothing else is placed there; in the given zone, if one is given.
-func (m *Manager) soonest(now micros.Time, j *job, zone string) *machine {
-	jb := &j.rec.Job
-	var best *machine
-	var bestAt micros.Time
+// soonest gives the machines that may be kept for a job, those first on which a task of it should find room first, by the
+// owners' estimates, when nothing else is placed there; in the given zone, if one is given. Keeping one of them does not
+// change when there is room on another.
+func (m *Manager) soonest(now micros.Time, j *job, zone string) []*machine {
+	type fit struct {
+		at micros.Time
+		mc *machine
+	}
+	var fits []fit
 	for _, mc := range m.machines {
 		if mc.keep != "" || zone != "" && zone != mc.zone || !m.takes(now, mc, j) {
 			continue
 		}
-		at, ok := m.fitsAt(now, mc, jb)
-		if ok && (best == nil || at < bestAt || at == bestAt && mc.id < best.id) {
-			best, bestAt = mc, at
+		if at, ok := m.fitsAt(now, mc, &j.rec.Job); ok {
+			fits = append(fits, fit{at, mc})
 		}
 	}
-	return best
+	slices.SortFunc(fits, func(a, b fit) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.mc.id, b.mc.id)) })
+	machines := make([]*machine, len(fits))
+	for i, f := range fits {
+		machines[i] = f.mc
+	}
+	return machines
 }
 
 func (m *Manager) fitsAt(now micros.Time, mc *machine, jb *wire.Job) (micros.Time, bool) {
@@ -148,7 +160,7 @@
 		at micros.Time
 		a  *attempt
 	}
-	var ends []end
+	ends := make([]end, 0, len(mc.attempts))
 	for _, a := range mc.attempts {
 		ends = append(ends, end{max(now, m.expectedEnd(now, a)), a})
 	}
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -382,6 +382,44 @@
 	b.want(b.grant("run-2", "n-2-a", 1), 1)
 }
 
+// The machines are looked through once for a job, not once for each machine that is kept.
+func TestKeepingRoomLooksOnce(t *testing.T) {
+	const machines, most = 200, 4
+	b := newBench(t, nil, nil)
+	b.m.teams["blue"].CPUsMax = 0
+	b.m.SetTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 16, Zones: []string{"a", "b"}}})
+	var ids []string
+	for i := range machines {
+		ids = append(ids, fmt.Sprintf("n-%03d-a", i))
+	}
+	b.up(ids...)
+	b.job("run-1", machines, func(j *wire.Job) { j.Team = "blue" })
+	for _, id := range ids {
+		b.want(b.grant("run-1", id, 1), 1)
+	}
+	b.job("run-2", machines, func(j *wire.Job) { j.Team, j.CPUs = "blue", 8 })
+	b.wait(micros.Minute)
+	b.up(ids...)
+	kept := func() (n int) {
+		for _, mc := range b.m.machines {
+			if mc.keep == "run-2" {
+				n++
+			}
+		}
+		return n
+	}
+	allocs := testing.AllocsPerRun(1, func() {
+		for _, mc := range b.m.machines {
+			mc.keep = ""
+		}
+		b.m.KeepRoom(b.now)
+	})
+	b.want(kept(), machines/keepShare)
+	if allocs > machines*most {
+		t.Errorf("%v allocations for %d machines, at most %d each", allocs, machines, most)
+	}
+}
+
 // Launches are written before progress, which gathers.
 func TestLaunchesAreWrittenFirst(t *testing.T) {
 	b := newBench(t, nil, nil)
