--- a/caretaker.go
+++ b/caretaker.go
@@ -120,8 +120,8 @@
 	c.mu.Unlock()
 	ctx, stop = context.WithCancel(ctx)
 	c.n.start(func() {
-		c.heed(ctx, all)
-		c.n.watchOpen(ctx, from, func(u openNews) { c.heed(ctx, u) })
+		c.applyNews(ctx, all)
+		c.n.watchOpen(ctx, from, func(u openNews) { c.applyNews(ctx, u) })
 	})
 	return stop, nil
 }
@@ -141,8 +141,8 @@
 	return micros.Time(c.n.viewed.Load()).Add(-permitLife), known
 }
 
-// heed takes news of the open records. They count as known once the attempts of the jobs that are over are, too.
-func (c *caretaker) heed(ctx context.Context, u openNews) {
+// applyNews takes news of the open records. They count as known once the attempts of the jobs that are over are, too.
+func (c *caretaker) applyNews(ctx context.Context, u openNews) {
 	var over []string
 	found := map[string][]placed{}
 	for _, it := range u.records {
--- a/follow.go
+++ b/follow.go
@@ -33,14 +33,14 @@
 		if p.Member == leader {
 			f := &following{n: n, leader: leader, token: token, care: &caretaker{n: n, token: token},
 				client: peer.NewClient(n.net.Dial, p.Addr, n.set.Member, token)}
-			f.hear()
+			f.noteContact()
 			return f
 		}
 	}
 	return nil
 }
 
-func (f *following) hear() { f.heard.Store(int64(f.n.clock.Now())) }
+func (f *following) noteContact() { f.heard.Store(int64(f.n.clock.Now())) }
 
 func (f *following) silent() bool {
 	return f.n.clock.Now().Sub(micros.Time(f.heard.Load())) > careAfter
@@ -62,7 +62,7 @@
 				return false
 			}
 			served, refusals = true, 0
-			f.hear()
+			f.noteContact()
 			n.show(v)
 			n.placer.offer(v, f.client.Ask)
 			return true
@@ -73,7 +73,7 @@
 		n.log.Debug("the leader's stream ended", "leader", f.leader, "err", err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			refusals++
-			f.hear()
+			f.noteContact()
 		}
 		if served && refusals >= 2 {
 			refused()
--- a/internal/manager/gangs.go
+++ b/internal/manager/gangs.go
@@ -219,17 +219,17 @@
 
 // displaceForGang stops others' tasks where that makes room for all of a gang; where it does
 // not, none is stopped.
-func (m *Manager) displaceForGang(now micros.Time, j *job, yards []*yard, promised map[string]Space) {
+func (m *Manager) displaceForGang(now micros.Time, j *job, targets []*target, promised map[string]Space) {
 	jb := &j.rec.Job
 	need := Need(jb)
-	mine := m.yardsFor(j, yards)
-	zones := map[string][]*yard{}
-	for _, y := range mine {
+	mine := m.targetsFor(j, targets)
+	zones := map[string][]*target{}
+	for _, place := range mine {
 		zone := ""
 		if jb.OneZone {
-			zone = y.mc.zone
+			zone = place.mc.zone
 		}
-		zones[zone] = append(zones[zone], y)
+		zones[zone] = append(zones[zone], place)
 	}
 	var best []*attempt
 	found := false
@@ -245,7 +245,7 @@
 		}
 	}
 	for _, a := range best {
-		m.makeRoom(now, a, yards, j)
+		m.makeRoom(now, a, targets, j)
 	}
 	if found {
 		promised[jb.Team] = promised[jb.Team].Plus(need, float64(j.waiting))
@@ -254,16 +254,16 @@
 
 // roomForGang gives tasks whose end makes room for all of a gang on the given machines, those
 // that lose least first; ok: there is enough.
-func (m *Manager) roomForGang(now micros.Time, j *job, yards []*yard, promised Space) (victims []*attempt, ok bool) {
+func (m *Manager) roomForGang(now micros.Time, j *job, targets []*target, promised Space) (victims []*attempt, ok bool) {
 	need := Need(&j.rec.Job)
 	missing := j.waiting
 	room := map[*machine]Space{}
 	var may []*attempt
-	for _, y := range yards {
-		n := y.room.Holds(need, missing)
+	for _, place := range targets {
+		n := place.room.Holds(need, missing)
 		missing -= n
-		room[y.mc] = y.room.Plus(need, -float64(n))
-		for _, a := range y.victims {
+		room[place.mc] = place.room.Plus(need, -float64(n))
+		for _, a := range place.victims {
 			if !a.stop && a.job.gang == nil && m.displaces(j, a.job, promised) {
 				may = append(may, a)
 			}
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -14,7 +14,7 @@
 	mc := m.machines[id]
 	if mc == nil {
 		mc = &machine{id: id, born: now, idleSince: now, lastHeard: now, attempts: map[string]*attempt{},
-			strays: map[string]wire.TaskReport{}, tombs: map[tombKey]tomb{}, images: map[string]*image{},
+			strays: map[string]wire.TaskReport{}, retained: map[retainedKey]retainedAttempt{}, images: map[string]*image{},
 			directOK: true}
 		m.machines[id] = mc
 	}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -163,9 +163,9 @@
 	fails, slow int
 	attempts    map[string]*attempt // by task
 	strays      map[string]wire.TaskReport
-	// tombs are exited attempts whose direct launch may yet arrive, or arrive again: not
+	// retained are exited attempts whose direct launch may yet arrive, or arrive again: not
 	// cleared.
-	tombs     map[tombKey]tomb
+	retained  map[retainedKey]retainedAttempt
 	images    map[string]*image
 	idleSince micros.Time // 0: not idle yet in this term
 	directOK  bool
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -822,11 +822,11 @@
 
 // A machine with many such attempts gets no more direct launches, so that its reports stay
 // short.
-func TestTombsAreBounded(t *testing.T) {
+func TestRetainedAttemptsAreBounded(t *testing.T) {
 	b := newBench(t, nil, nil)
 	b.placed()
-	for i := range mostTombs {
-		b.m.machines["n-1-a"].tombs[tombKey{"run-1/9", uint64(i)}] = tomb{job: b.m.jobs["run-1"]}
+	for i := range mostRetained {
+		b.m.machines["n-1-a"].retained[retainedKey{"run-1/9", uint64(i)}] = retainedAttempt{job: b.m.jobs["run-1"]}
 	}
 	b.want(len(b.m.Directs(b.now, true)), 0)
 	b.want(b.report("n-1-a", token, 1), fmt.Sprintf("launch run-1/0 %d", first))
--- a/internal/manager/orders.go
+++ b/internal/manager/orders.go
@@ -57,7 +57,7 @@
 			// job's time is nearly up has begun a new session by then, since the time is longer than
 			// its lease; and answers are dropped after 4 s.
 			if a.job.over == "" || now < a.job.overAt.Add(LaunchToStop(m.cfg.Cancel)) {
-				mc.tombs[tombKey{name, a.id}] = tomb{job: a.job}
+				mc.retained[retainedKey{name, a.id}] = retainedAttempt{job: a.job}
 				a.sentSeq = r.Seq
 				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id}, wire.StopCommand(name, a.id, 0))
 			}
@@ -114,7 +114,7 @@
 			case a.listed && a.stop && a.stopSent == 0:
 				a.stopSent = now
 				d.Body.Commands = append(d.Body.Commands, wire.StopCommand(name, a.id, a.stopGrace))
-			case launch && a.ours && !a.stop && !a.listed && a.sentSeq == 0 && !a.directLost && len(mc.tombs) < mostTombs && a.mayLaunch():
+			case launch && a.ours && !a.stop && !a.listed && a.sentSeq == 0 && !a.directLost && len(mc.retained) < mostRetained && a.mayLaunch():
 				a.directOut, a.direct = true, true
 				d.Body.Commands = append(d.Body.Commands, wire.Command{Op: wire.OpStart, Task: name, Attempt: a.id})
 			}
--- a/internal/manager/preempt.go
+++ b/internal/manager/preempt.go
@@ -8,9 +8,9 @@
 	"saffronbend/wire"
 )
 
-// yard is a machine as displacement sees it: its room, what is being stopped included,
+// target is a machine as preemption sees it: its room, what is being stopped included,
 // and the tasks on it that may make room.
-type yard struct {
+type target struct {
 	mc      *machine
 	room    Space
 	victims []*attempt
@@ -34,7 +34,7 @@
 		needy = slices.Concat(needy[i:], needy[:i])
 	}
 	m.preemptFrom = ""
-	yards := m.yards(now)
+	targets := m.targets(now)
 	promised := map[string]Space{}
 	budget := 4
 	for _, j := range needy {
@@ -43,10 +43,10 @@
 			return
 		}
 		if j.gang != nil {
-			m.displaceForGang(now, j, yards, promised)
+			m.displaceForGang(now, j, targets, promised)
 			continue
 		}
-		if budget = m.displace(now, j, yards, promised, budget); budget == 0 {
+		if budget = m.displace(now, j, targets, promised, budget); budget == 0 {
 			return
 		}
 	}
@@ -60,42 +60,42 @@
 	})
 }
 
-func (m *Manager) yards(now micros.Time) []*yard {
-	var yards []*yard
+func (m *Manager) targets(now micros.Time) []*target {
+	var targets []*target
 	for _, mc := range m.machines {
 		if !m.usable(now, mc) {
 			continue
 		}
-		y := &yard{mc: mc, room: m.free(mc)}
+		place := &target{mc: mc, room: m.free(mc)}
 		for _, a := range mc.attempts {
 			jb := &a.job.rec.Job
 			switch {
 			case a.stop:
-				y.room = y.room.Plus(Need(jb), 1)
+				place.room = place.room.Plus(Need(jb), 1)
 			case a.kept:
 				// It has waited long for this room.
 			case a.job.gang != nil && m.mayDisplaceGang(now, a.job):
-				y.victims = append(y.victims, a)
+				place.victims = append(place.victims, a)
 			case a.job.gang != nil:
 			case a.state != wire.TaskRunning || jb.CheckpointS > 0: // else its work would be lost
-				y.victims = append(y.victims, a)
+				place.victims = append(place.victims, a)
 			}
 		}
-		slices.SortFunc(y.victims, byNumber)
-		yards = append(yards, y)
+		slices.SortFunc(place.victims, byNumber)
+		targets = append(targets, place)
 	}
-	slices.SortFunc(yards, func(a, b *yard) int { return cmp.Compare(a.mc.id, b.mc.id) })
-	return yards
+	slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.mc.id, b.mc.id) })
+	return targets
 }
 
 // displace finds room for a job's waiting tasks, and stops others' tasks where there is
 // none; it gives what is left of the budget.
-func (m *Manager) displace(now micros.Time, j *job, yards []*yard, promised map[string]Space, budget int) int {
+func (m *Manager) displace(now micros.Time, j *job, targets []*target, promised map[string]Space, budget int) int {
 	jb := &j.rec.Job
 	need := Need(jb)
-	mine := m.yardsFor(j, yards)
-	take := func(y *yard) {
-		y.room = y.room.Plus(need, -1)
+	mine := m.targetsFor(j, targets)
+	take := func(place *target) {
+		place.room = place.room.Plus(need, -1)
 		promised[jb.Team] = promised[jb.Team].Plus(need, 1)
 	}
 	next := 0
@@ -107,27 +107,27 @@
 			take(mine[next])
 			continue
 		}
-		var best *yard
+		var best *target
 		var victim *attempt
 		least := micros.Forever
-		for _, y := range mine {
-			for _, a := range y.victims {
+		for _, place := range mine {
+			for _, a := range place.victims {
 				if a.stop || !m.displaces(j, a.job, promised[jb.Team]) {
 					continue
 				}
 				if a.job.gang != nil && !m.worthIt(now, j, a.job) {
 					continue
 				}
-				after := y.room.Plus(Need(&a.job.rec.Job), y.freedBy(a))
+				after := place.room.Plus(Need(&a.job.rec.Job), place.freedBy(a))
 				if loss := loss(a); loss < least && after.Fits(need) {
-					best, victim, least = y, a, loss
+					best, victim, least = place, a, loss
 				}
 			}
 		}
 		if victim == nil {
 			return budget
 		}
-		m.makeRoom(now, victim, yards, j)
+		m.makeRoom(now, victim, targets, j)
 		take(best)
 		if budget--; budget == 0 {
 			return 0
@@ -136,24 +136,24 @@
 	return budget
 }
 
-// yardsFor gives the machines that may take a job's tasks once there is room.
-func (m *Manager) yardsFor(j *job, yards []*yard) []*yard {
-	var mine []*yard
-	for _, y := range yards {
-		if m.suits(y.mc, j) && (y.mc.keep == "" || y.mc.keep == j.rec.Job.ID) {
-			mine = append(mine, y)
+// targetsFor gives the machines that may take a job's tasks once there is room.
+func (m *Manager) targetsFor(j *job, targets []*target) []*target {
+	var mine []*target
+	for _, place := range targets {
+		if m.suits(place.mc, j) && (place.mc.keep == "" || place.mc.keep == j.rec.Job.ID) {
+			mine = append(mine, place)
 		}
 	}
 	return mine
 }
 
 // freedBy is how many tasks go from the machine when the given one does.
-func (y *yard) freedBy(a *attempt) float64 {
+func (place *target) freedBy(a *attempt) float64 {
 	if a.job.gang == nil {
 		return 1
 	}
 	n := 0.0
-	for _, x := range y.victims {
+	for _, x := range place.victims {
 		if x.job == a.job {
 			n++
 		}
@@ -163,7 +163,7 @@
 
 // makeRoom stops a task, or the whole gang that it belongs to, and books the room that comes
 // free.
-func (m *Manager) makeRoom(now micros.Time, a *attempt, yards []*yard, by *job) {
+func (m *Manager) makeRoom(now micros.Time, a *attempt, targets []*target, by *job) {
 	// taking is how long the job's scheduler may need to see the room and ask for it.
 	const taking = 2 * micros.Second
 	jb := &a.job.rec.Job
@@ -184,8 +184,8 @@
 		if by.gang != nil {
 			x.machine.madeFor, x.machine.madeUntil = by.rec.Job.ID, now.Add(micros.Seconds(grace)+taking)
 		}
-		if i := slices.IndexFunc(yards, func(y *yard) bool { return y.mc == x.machine }); i >= 0 {
-			yards[i].room = yards[i].room.Plus(Need(jb), 1)
+		if i := slices.IndexFunc(targets, func(place *target) bool { return place.mc == x.machine }); i >= 0 {
+			targets[i].room = targets[i].room.Plus(Need(jb), 1)
 		}
 	}
 }
--- a/internal/manager/reports.go
+++ b/internal/manager/reports.go
@@ -97,7 +97,7 @@
 				m.drop(now, a)
 			}
 		}
-		clear(mc.tombs)
+		clear(mc.retained)
 	}
 	if !mc.up {
 		mc.up = true
@@ -226,7 +226,7 @@
 
 // exited books a task that the worker lists as exited.
 func (m *Manager) exited(now micros.Time, mc *machine, j *job, n int, a *attempt, tr wire.TaskReport) {
-	if _, ok := mc.tombs[tombKey{tr.Task, tr.Attempt}]; ok && a == nil {
+	if _, ok := mc.retained[retainedKey{tr.Task, tr.Attempt}]; ok && a == nil {
 		return // booked before, and still listed because it is not cleared
 	}
 	mine := a != nil && a.id == tr.Attempt && a.machine == mc
@@ -248,7 +248,7 @@
 		}
 		m.noteImage(now, mc, &j.rec.Job, true)
 		if mine {
-			m.bury(a, true)
+			m.retain(a, true)
 			m.drop(now, a)
 		} else if a != nil {
 			m.stop(now, a, 0)
@@ -271,7 +271,7 @@
 	case tr.Why == wire.WhyError:
 		m.noteFailure(now, mc, j)
 	}
-	m.bury(a, false)
+	m.retain(a, false)
 	m.drop(now, a)
 }
 
@@ -286,41 +286,41 @@
 	m.touch(now, j, n, false)
 }
 
-// tomb is an exited attempt that its worker must go on knowing: once cleared, a late copy
+// retainedAttempt is an exited attempt that its worker must go on knowing: once cleared, a late copy
 // of its direct launch would start it again, while its task may be elsewhere or its job
 // cancelled. One that is done may be cleared when its job is done, which can't be
 // cancelled any more, unless the second start would break its team's limit.
-type tomb struct {
+type retainedAttempt struct {
 	job  *job
 	done bool
 }
 
-// tombKey names an attempt: the tasks of a gang share its number.
-type tombKey struct {
+// retainedKey names an attempt: the tasks of a gang share its number.
+type retainedKey struct {
 	task    string
 	attempt uint64
 }
 
-// mostTombs bounds the length of a machine's reports: one with more gets its launches in
+// mostRetained bounds the length of a machine's reports: one with more gets its launches in
 // answers to them, which do not come late.
-const mostTombs = 128
+const mostRetained = 128
 
-// bury remembers an attempt that has exited, if it was launched directly.
-func (m *Manager) bury(a *attempt, done bool) {
+// retain remembers an attempt that has exited, if it was launched directly.
+func (m *Manager) retain(a *attempt, done bool) {
 	if a.directLost || a.directOut || a.direct {
 		limit := m.teams[a.job.rec.Job.Team]
-		a.machine.tombs[tombKey{a.name, a.id}] = tomb{a.job, done && !a.directLost && !a.directOut && (limit == nil || limit.CPUsMax+limit.GPUsMax == 0)}
+		a.machine.retained[retainedKey{a.name, a.id}] = retainedAttempt{a.job, done && !a.directLost && !a.directOut && (limit == nil || limit.CPUsMax+limit.GPUsMax == 0)}
 	}
 }
 
-// mayClear tells whether an exited attempt may be cleared, and forgets its tomb then.
+// mayClear tells whether an exited attempt may be cleared, and forgets it then.
 func (mc *machine) mayClear(task string, attempt uint64) bool {
-	key := tombKey{task, attempt}
-	t, ok := mc.tombs[key]
+	key := retainedKey{task, attempt}
+	t, ok := mc.retained[key]
 	if ok && !(t.done && t.job.over == wire.JobDone) {
 		return false
 	}
-	delete(mc.tombs, key)
+	delete(mc.retained, key)
 	return true
 }
 
--- a/records.go
+++ b/records.go
@@ -128,13 +128,13 @@
 			news.records = append(news.records, *it)
 		}
 	}
-	t.heed(ctx, news)
+	t.applyNews(ctx, news)
 	t.post(ctx, func(now micros.Time) { t.mgr.WriteConflict(now, w.ID) })
 	return true
 }
 
-// heed takes what the watch of the open records has brought.
-func (t *term) heed(ctx context.Context, u openNews) {
+// applyNews takes what the watch of the open records has brought.
+func (t *term) applyNews(ctx context.Context, u openNews) {
 	type changed struct {
 		rec     state.OpenRecord
 		version uint64
--- a/resolved.go
+++ b/resolved.go
@@ -30,7 +30,7 @@
 }
 
 // watchOpen follows the open records from a revision on until ctx ends.
-func (n *Node) watchOpen(ctx context.Context, from uint64, heed func(openNews)) {
+func (n *Node) watchOpen(ctx context.Context, from uint64, applyNews func(openNews)) {
 	for ctx.Err() == nil {
 		u := openNews{asked: n.clock.Now()}
 		r, err := n.state.Watch(ctx, state.OpenPrefix, from, settings.NewsBlock.Duration())
@@ -50,7 +50,7 @@
 			u.whole = from
 		}
 		if err == nil {
-			heed(u)
+			applyNews(u)
 		} else if !sleep(ctx, 100*micros.Millisecond) {
 			return
 		}
--- a/term.go
+++ b/term.go
@@ -67,7 +67,7 @@
 		return
 	}
 	close(t.ready)
-	n.start(func() { n.watchOpen(ctx, from, func(u openNews) { t.heed(ctx, u) }) })
+	n.start(func() { n.watchOpen(ctx, from, func(u openNews) { t.applyNews(ctx, u) }) })
 	n.start(func() { t.watchCloud(ctx) })
 	n.start(func() { t.readCare(ctx) })
 	n.start(func() { t.watchPrices(ctx) })
@@ -170,8 +170,8 @@
 	return false
 }
 
-// begun waits until the records are loaded.
-func (t *term) begun(ctx context.Context) bool {
+// awaitRecords waits until the records are loaded.
+func (t *term) awaitRecords(ctx context.Context) bool {
 	select {
 	case <-t.ready:
 		return true
@@ -201,7 +201,7 @@
 func (t *term) report(ctx context.Context, r *wire.Report, via string) (ans peer.RelayAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	if !t.begun(ctx) {
+	if !t.awaitRecords(ctx) {
 		return ans
 	}
 	answers := make(chan peer.RelayAnswer, 1)
@@ -234,7 +234,7 @@
 func (t *term) subscribe(ctx context.Context, member string) func(since uint64) *manager.Update {
 	s := &subscriber{member: member, news: make(chan struct{}, 1)}
 	s.news <- struct{}{}
-	if !t.begun(ctx) {
+	if !t.awaitRecords(ctx) {
 		return nil
 	}
 	ok := t.call(ctx, func(now micros.Time) {
