--- a/internal/ingress/admission_test.go
+++ b/internal/ingress/admission_test.go
@@ -40,12 +40,15 @@
 func arrive(t *testing.T, a *Admission) *request {
 	server, client := net.Pipe()
 	r := &request{&conn{Conn: server, admission: a, lowPriority: true}, make(chan error, 1)}
+	ended := make(chan struct{})
 	t.Cleanup(func() {
 		_ = client.Close()
 		_ = server.Close()
+		<-ended // at the latest when its patience is over
 	})
 	go func() { _, _ = client.Write([]byte{1}) }()
 	go func() {
+		defer close(ended)
 		_, err := r.Read(make([]byte, 1))
 		r.err <- err
 	}()
@@ -79,7 +82,7 @@
 		}
 		ended := 0
 		for _, r := range rs {
-			if r.batch != nil {
+			if !r.mustWait() {
 				a.ConnState(r.conn, http.StateIdle)
 				ended++
 			}
