--- a/internal/ingress/admission.go
+++ b/internal/ingress/admission.go
@@ -164,19 +164,29 @@
 
 // enter waits for admission, and tells whether it came in time.
 func (c *conn) enter() bool {
+	select {
+	case b := <-c.admission.admit:
+		c.join(b)
+		return true
+	default: // there is a queue, or a pause
+	}
 	timeout := time.NewTimer(c.admission.patience)
 	defer timeout.Stop()
 	select {
 	case b := <-c.admission.admit:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.batch = b
+		c.join(b)
 		return true
 	case <-timeout.C:
 		return false
 	}
 }
 
+func (c *conn) join(b *batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batch = b
+}
+
 func (c *conn) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
