A job that has waited long takes free room instead of waiting for one lease after another

Where an image is large a lease ends before a fetch would, and others take the place when it comes free. A job that is overdue (keep_after_s) waits for no lease any more.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -305,7 +305,9 @@
 		}
 		if !c.local && !weighed {
 			weighed = true
-			if !j.Gang {
+			// Others may take the place that a job waits for, and again after the next lease: one that has
+			// waited long takes the room that there is.
+			if !j.Gang && !s.overdue(j) {
 				waits = s.waits(j, c.m)
 			}
 			for _, w := range waits[:min(len(waits), wants-placed)] {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -82,6 +82,21 @@
 	want(t, asked(newScheduler(), ms, jobView("run-1", 2)), "run-1 n-1 x1", "run-1 n-3 x1")
 }
 
+// A job that has waited long takes free room instead of waiting for one lease after another.
+func TestLongWaitingTakesFreeRoom(t *testing.T) {
+	busy := machineView("n-2", 0, "img")
+	busy.Leases = []manager.LeaseGroup{{Job: "run-9", Space: manager.Space{CPUs: 8, MemoryGB: 1}, Leases: []manager.Lease{{Attempt: 7, Ends: now.Add(5 * micros.Second)}}}}
+	kept := machineView("n-3", 8)
+	kept.Keep = "run-1"
+	for waited, asks := range map[micros.Span]string{40 * micros.Second: "run-1 n-2 after 7", 50 * micros.Second: "run-1 n-3 x1"} {
+		j := jobView("run-1", 1)
+		j.Since = now.Add(-waited)
+		s := newScheduler()
+		s.tuning.MinLocality = 0
+		want(t, asked(s, []*manager.MachineView{busy, kept}, j), asks)
+	}
+}
+
 // The place of a lease's waiter that the job has already is not asked for again, and
 // another's not at all.
 func TestOneWaiterForALease(t *testing.T) {
