--- a/review/1/main.go
+++ b/review/1/main.go
@@ -5,8 +5,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -15,10 +13,6 @@
 )
 
 const (
-	held  = 0 // every test passed
-	broke = 1
-	unfit = 2
-
 	startTimeout = 15 * time.Second
 	cutFor       = 38 * time.Second
 )
@@ -37,29 +31,18 @@
 }
 
 func main() {
-	root, folder := os.Args[1], os.Args[2]
-	record, err := standin.NewRecorder(filepath.Join(folder, "record.txt"))
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(unfit)
-	}
-	t := &test{
-		record: record, deployment: standin.JavaGuild(root, record), jobs: standin.NewJobs(), link: standin.NewLink(),
-		told: map[wire.JobID]time.Time{},
-	}
-	result, err := t.run(os.Getenv("TROUBLE") != "0")
-	t.deployment.Close()
-	if err != nil {
-		record.Printf("the case could not run: %v", err)
-		fmt.Fprintln(os.Stderr, err)
-		result = unfit
-	}
-	os.Exit(result)
+	standin.Main(func(d *standin.Deployment, trouble bool) (int, error) {
+		t := &test{
+			record: d.Record, deployment: d, jobs: standin.NewJobs(), link: standin.NewLink(),
+			told: map[wire.JobID]time.Time{},
+		}
+		return t.run(trouble)
+	})
 }
 
 func (t *test) run(trouble bool) (int, error) {
 	if err := t.start(); err != nil {
-		return unfit, err
+		return standin.Unfit, err
 	}
 	// Ordinary work: one-task jobs, one a second, so that the machine has their image, and the leader its connection.
 	for i := range 6 {
@@ -67,7 +50,7 @@
 		time.Sleep(time.Second)
 	}
 	if !standin.Within(10*time.Second, func() bool { return t.startCount() >= 6 }) {
-		return unfit, fmt.Errorf("only %d of the first jobs have started", t.startCount())
+		return standin.Unfit, fmt.Errorf("only %d of the first jobs have started", t.startCount())
 	}
 	t.submit(t.job(10, t.deployment.Teams[0]), time.Second)
 	time.Sleep(time.Second)
@@ -189,19 +172,19 @@
 	defer t.mu.Unlock()
 	if len(t.told) == 0 {
 		t.record.Printf("no job was cancelled")
-		return unfit
+		return standin.Unfit
 	}
-	result := held
+	result := standin.Held
 	for _, start := range t.starts {
 		id, _, _ := wire.ParseTaskName(start.Task)
 		told, cancelled := t.told[id]
 		if late := start.At.Sub(told); cancelled && late > t.deployment.Timing.Cancel {
 			t.record.Printf("ran_cancelled is broken: %s started on %s %.1f s after its user was told that the job is"+
 				" cancelled, cancel_s is %.0f", start.Task, start.Machine, late.Seconds(), t.deployment.Timing.Cancel.Seconds())
-			result = broke
+			result = standin.Broke
 		}
 	}
-	if result == held {
+	if result == standin.Held {
 		t.record.Printf("ran_cancelled held")
 	}
 	return result
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -6,8 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"time"
 
 	"saffronbend/review/standin"
@@ -15,10 +13,6 @@
 )
 
 const (
-	held  = 0
-	broke = 1
-	unfit = 2
-
 	startTimeout = 15 * time.Second
 	pieces       = 3
 	runTime      = 2 * time.Second
@@ -26,45 +20,29 @@
 	pollInterval = time.Second
 )
 
-func main() {
-	root, folder := os.Args[1], os.Args[2]
-	record, err := standin.NewRecorder(filepath.Join(folder, "record.txt"))
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(unfit)
-	}
-	deployment := standin.JavaGuild(root, record)
-	result, err := run(deployment, record, os.Getenv("TROUBLE") != "0")
-	deployment.Close()
-	if err != nil {
-		record.Printf("the case could not run: %v", err)
-		fmt.Fprintln(os.Stderr, err)
-		result = unfit
-	}
-	os.Exit(result)
-}
+func main() { standin.Main(run) }
 
-func run(d *standin.Deployment, record *standin.Recorder, trouble bool) (int, error) {
+func run(d *standin.Deployment, trouble bool) (int, error) {
 	jobs := standin.NewJobs()
 	if err := start(d, jobs); err != nil {
-		return unfit, err
+		return standin.Unfit, err
 	}
 	job := standin.ExamJob(1, "certification", "img-java", pieces)
 	jobs.Upload(standin.Workload{Job: job, RunTime: runTime})
 	body, err := submission(job, trouble)
 	if err != nil {
-		return unfit, err
+		return standin.Unfit, err
 	}
 	if status, answer := d.Submit(0, body); status != http.StatusCreated {
-		return unfit, fmt.Errorf("the job was not accepted: %d %s", status, answer)
+		return standin.Unfit, fmt.Errorf("the job was not accepted: %d %s", status, answer)
 	}
 	for deadline, i := time.Now().Add(doneTimeout), 0; time.Now().Before(deadline); i++ {
 		if status, state := d.Poll(i, job.ID); status == http.StatusOK && state.State == wire.JobDone {
-			return judge(record, jobs, job), nil
+			return judge(d.Record, jobs, job), nil
 		}
 		time.Sleep(pollInterval)
 	}
-	return unfit, errors.New("the job was not done in time")
+	return standin.Unfit, errors.New("the job was not done in time")
 }
 
 // submission returns the submission of a job; with trouble it has a field of the user's own besides the protocol's.
@@ -80,14 +58,14 @@
 
 // judge checks the rule not_done: the job has just been called done.
 func judge(record *standin.Recorder, jobs *standin.Jobs, job wire.Job) int {
-	result := held
+	result := standin.Held
 	for piece := range job.Tasks {
 		if task := wire.TaskName(job.ID, piece); !jobs.Done(task) {
 			record.Printf("not_done is broken: %s is called done, and %s has not completed", job.ID, task)
-			result = broke
+			result = standin.Broke
 		}
 	}
-	if result == held {
+	if result == standin.Held {
 		record.Printf("not_done held")
 	}
 	return result
--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -10,12 +10,11 @@
 	"saffronbend/wire"
 )
 
-// Cloud rents machines. Types have unlimited capacity unless NoCapacity is set.
+// Cloud rents machines, as many as it is asked for.
 type Cloud struct {
-	Types      []wire.MachineType
-	ListLag    time.Duration
-	NoCapacity bool
-	Record     *Recorder
+	Types   []wire.MachineType
+	ListLag time.Duration
+	Record  *Recorder
 	// NewWorker creates the worker of a machine that is up.
 	NewWorker func(id wire.MachineID, machineType wire.MachineType, zone string, spot bool) (*Worker, error)
 
@@ -70,31 +69,6 @@
 	return nil
 }
 
-// Worker returns the worker of a machine that is up, or nil.
-func (c *Cloud) Worker(id wire.MachineID) *Worker {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, machine := range c.machines {
-		if machine.listing.ID == id && !machine.gone {
-			return machine.worker
-		}
-	}
-	return nil
-}
-
-// Workers returns the workers of the machines that are up.
-func (c *Cloud) Workers() []*Worker {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var workers []*Worker
-	for _, machine := range c.machines {
-		if machine.worker != nil && !machine.gone {
-			workers = append(workers, machine.worker)
-		}
-	}
-	return workers
-}
-
 // ServeHTTP serves the cloud's part of the protocol.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
@@ -138,10 +112,6 @@
 		return
 	}
 	c.Record.Printf("cloud: hire %s", encode(hire))
-	if c.NoCapacity {
-		writeJSON(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "no capacity"})
-		return
-	}
 	var ids []wire.MachineID
 	for range hire.Count {
 		machine := c.create(hire.Type, hire.Zone, hire.Spot)
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -24,16 +24,10 @@
 	Timing Timing
 	Types  []wire.MachineType
 	Teams  []string
-	// Limits are the teams' cpus_max.
-	Limits map[string]float64
 	// ZoneOf is the zone of each controller.
 	ZoneOf []string
 	// PeerLink returns the link from one controller to another; nil: there is none, they are connected directly.
 	PeerLink func(from, to int) *Link
-	// StateLink returns the link from a controller to the key-value store; nil: connected directly.
-	StateLink func(from int) *Link
-	// Extra is added to the section deployment of the settings.
-	Extra string
 
 	dir         string
 	stateAddr   string
@@ -126,7 +120,7 @@
 
 // serve serves a stand-in on a free loopback address.
 func serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return "", err
 	}
@@ -134,13 +128,23 @@
 	return listener.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address that nobody listens on. Its port is below those that connections get.
+// loopback returns an address without a port that no other process of the review uses at the same time.
+func loopback() string {
+	const firstByte, bytes = 64, 128
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", firstByte+id>>8%bytes, id%256)
+}
+
+// listen listens on a free loopback address.
+func listen() (net.Listener, error) { return net.Listen("tcp", loopback()+":0") }
+
+// freeAddress returns a loopback address that nobody listens on. Its port is none that the system gives to others.
 func freeAddress() (string, error) {
 	const tries, firstPort, ports = 100, 10_000, 20_000
 	var err error
 	for range tries {
 		var listener net.Listener
-		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		listener, err = net.Listen("tcp", fmt.Sprintf("%s:%d", loopback(), firstPort+rand.IntN(ports)))
 		if err == nil {
 			return listener.Addr().String(), listener.Close()
 		}
@@ -159,14 +163,6 @@
 // settings returns the settings file of a controller.
 func (d *Deployment) settings(i int) (string, error) {
 	self := d.Controllers[i]
-	var stateLink *Link
-	if d.StateLink != nil {
-		stateLink = d.StateLink(i)
-	}
-	stateAddr, err := over(stateLink, d.stateAddr)
-	if err != nil {
-		return "", err
-	}
 	var text strings.Builder
 	fmt.Fprintf(&text, "member = %q\nlocation = %q\nserve_on = %q\ncluster_listen = %q\n",
 		self.Name, d.ZoneOf[i], self.Addr, self.Cluster)
@@ -184,18 +180,17 @@
 		}
 		fmt.Fprintf(&text, "[[seeds]]\nmember = %q\nlocation = %q\naddr = %q\n", peer.Name, d.ZoneOf[j], addr)
 	}
-	fmt.Fprintf(&text, "[services]\ncloud = %q\nstate = %q\n", d.cloudAddr, stateAddr)
+	fmt.Fprintf(&text, "[services]\ncloud = %q\nstate = %q\n", d.cloudAddr, d.stateAddr)
 	text.WriteString("[deployment]\nzones = [\"hall-north\", \"hall-south\"]\nskew_ms = 25.0\n")
 	fmt.Fprintf(&text, "nodes = %d\n", len(d.ZoneOf))
 	for _, team := range d.Teams {
-		fmt.Fprintf(&text, "[[deployment.teams]]\nname = %q\ncpus = 0.0\ncpus_max = %.1f\ngpus = 0.0\ngpus_max = 0.0\n",
-			team, d.Limits[team])
+		fmt.Fprintf(&text, "[[deployment.teams]]\nname = %q\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n", team)
 	}
 	fmt.Fprintf(&text, "[deployment.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = 35.0\ngang_peer_s = 5.0\n"+
 		"cancel_s = %.1f\n", d.Timing.Report.Seconds(), d.Timing.Lease.Seconds(), d.Timing.Cancel.Seconds())
 	text.WriteString("[deployment.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 8.0\ntxn_ops = 32\n" +
 		"[deployment.cloud]\nrps = 8.0\nlist_lag_s = 6.0\n" +
-		"[deployment.quota]\ncore_share = 0.12\nmem_mb = 98.0\nmax_connections = 900\n" + d.Extra)
+		"[deployment.quota]\ncore_share = 0.12\nmem_mb = 98.0\nmax_connections = 900\n")
 	return text.String(), nil
 }
 
@@ -254,9 +249,6 @@
 	c.process = nil
 }
 
-// Signal sends a signal to the controller's process.
-func (c *Controller) Signal(signal os.Signal) error { return c.process.Process.Signal(signal) }
-
 // Log returns the controller's log.
 func (c *Controller) Log() string {
 	content, err := os.ReadFile(c.config + ".log")
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -53,7 +53,7 @@
 // Forward listens on a free loopback address and forwards connections over the link to the target. It returns the
 // address.
 func (l *Link) Forward(target string) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,11 +1,8 @@
 package standin
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,9 +28,6 @@
 	grants   map[uint64]*grant
 	last     uint64 // the last grant
 	changed  chan struct{}
-	// LateTxn returns after how long a transaction is carried out, without an answer; 0: at once, with an answer; below 0:
-	// at once, and the answer is lost. nil: all are answered.
-	LateTxn func() time.Duration
 }
 
 type grant struct {
@@ -98,22 +92,6 @@
 }
 
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
-	if s.LateTxn != nil {
-		if late := s.LateTxn(); late != 0 {
-			body, _ := io.ReadAll(r.Body)
-			r.Body = io.NopCloser(bytes.NewReader(body))
-			if late < 0 {
-				s.txn(httptest.NewRecorder(), r)
-			} else {
-				time.AfterFunc(late, func() { s.txn(httptest.NewRecorder(), r) })
-			}
-			panic(http.ErrAbortHandler)
-		}
-	}
-	s.txn(w, r)
-}
-
-func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
 	var txn wire.Transaction
 	malformed := json.NewDecoder(r.Body).Decode(&txn) != nil || len(txn.Then) > maxTxnOps || len(txn.If) > 4*maxTxnOps
 	s.mu.Lock()
--- a/review/standin/user.go
+++ b/review/standin/user.go
@@ -90,10 +90,3 @@
 
 // Body returns the submission of a job.
 func Body(job wire.Job) []byte { return encode(job) }
-
-// State returns the state in an answer; it is empty if there is none.
-func State(answer []byte) wire.JobState {
-	var status wire.JobStatus
-	_ = json.Unmarshal(answer, &status) // the state of an unreadable answer is empty
-	return status.State
-}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -94,12 +94,6 @@
 	Record  *Recorder
 	Images  []string // images that the machine has
 	OnStart func(Start)
-	OnEnd   func(Start)
-	// HoldCommand returns for how long a direct command is held up on its way: it is then carried out late, without an
-	// answer. 0: it is not. nil: none is.
-	HoldCommand func() time.Duration
-	// CopyReport returns after how long a copy of a report arrives again. 0: none does. nil: none ever does.
-	CopyReport func() time.Duration
 }
 
 // Worker is the worker of one machine.
@@ -121,20 +115,18 @@
 	tasks    []*task
 	images   map[string]time.Time
 	node     int
-	launches int // launch commands that arrived
-	hungTill time.Time
+	launches int // attempts that launch commands have brought
 }
 
 type task struct {
 	status   wire.TaskStatus
 	workload Workload
 	until    time.Time
-	onBoard  bool
 }
 
 // NewWorker creates a worker that listens on a free loopback address. Start starts it.
 func NewWorker(config WorkerConfig) (*Worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
@@ -188,30 +180,6 @@
 	w.sick = sick
 }
 
-// Hang makes the machine hang for a while: nothing runs on it, and then all of it goes on.
-func (w *Worker) Hang(duration time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.note("hangs for %v", duration)
-	w.hungTill = time.Now().Add(duration)
-	for _, t := range w.tasks {
-		t.until = t.until.Add(duration)
-	}
-}
-
-// awaitResume returns when the machine does not hang.
-func (w *Worker) awaitResume() {
-	for {
-		w.mu.Lock()
-		left := time.Until(w.hungTill)
-		w.mu.Unlock()
-		if left <= 0 {
-			return
-		}
-		time.Sleep(left)
-	}
-}
-
 // Idle reports whether the machine is up and runs nothing.
 func (w *Worker) Idle() bool {
 	w.mu.Lock()
@@ -219,14 +187,7 @@
 	return !w.ended && !slices.ContainsFunc(w.tasks, func(t *task) bool { return t.status.State != wire.TaskExited })
 }
 
-// Shift returns the worker's session.
-func (w *Worker) Shift() wire.AgentIncarnation {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.shift
-}
-
-// Launches returns how many launch commands have arrived.
+// Launches returns how many attempts launch commands have brought to the machine.
 func (w *Worker) Launches() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -254,19 +215,13 @@
 func (w *Worker) runTasks() {
 	for {
 		time.Sleep(workerStep)
-		w.awaitResume()
 		w.mu.Lock()
 		if w.ended {
 			w.mu.Unlock()
 			return
 		}
 		now := time.Now()
-		if now.Sub(w.renewed) > w.config.Timing.Lease {
-			w.killTasks("the lease has expired")
-			w.shift++
-			w.renewed, w.changed = now, true
-			w.note("session %d begins", w.shift)
-		}
+		w.checkLease(now)
 		for _, t := range w.tasks {
 			w.advance(now, t)
 		}
@@ -274,12 +229,22 @@
 	}
 }
 
+// checkLease ends the session if the lease has expired. The caller holds the lock.
+func (w *Worker) checkLease(now time.Time) {
+	if now.Sub(w.renewed) <= w.config.Timing.Lease {
+		return
+	}
+	w.killTasks("the lease has expired")
+	w.shift++
+	w.renewed, w.changed = now, true
+	w.note("session %d begins", w.shift)
+}
+
 func (w *Worker) killTasks(why string) {
 	for _, t := range w.tasks {
 		if t.status.State != wire.TaskExited {
 			w.note("%s try %d is killed: %s", t.status.Task, t.status.Attempt, why)
 		}
-		w.leave(t)
 	}
 	w.tasks = nil
 }
@@ -303,7 +268,6 @@
 
 // begin starts a task whose image is there.
 func (w *Worker) begin(now time.Time, t *task) {
-	t.onBoard = true
 	t.status.State, t.until = wire.TaskRunning, now.Add(t.workload.RunTime)
 	w.changed = true
 	w.note("%s try %d starts", t.status.Task, t.status.Attempt)
@@ -320,19 +284,10 @@
 
 func (w *Worker) end(t *task, why wire.ExitReason, saved bool) {
 	t.status.State, t.status.ExitReason, t.status.CheckpointSaved = wire.TaskExited, why, saved
-	w.leave(t)
 	w.changed = true
 	w.note("%s try %d ends: %s", t.status.Task, t.status.Attempt, why)
 }
 
-// leave records that a task is no longer on its machine.
-func (w *Worker) leave(t *task) {
-	if t.onBoard && w.config.OnEnd != nil {
-		w.config.OnEnd(Start{Task: t.status.Task, Attempt: t.status.Attempt, Machine: w.config.ID, At: time.Now()})
-	}
-	t.onBoard = false
-}
-
 // execute executes commands in order. The caller holds the lock.
 func (w *Worker) execute(now time.Time, commands []wire.Command) {
 	for _, command := range commands {
@@ -340,11 +295,9 @@
 			return t.status.Task == command.Task && t.status.Attempt == command.Attempt
 		})
 		switch {
-		case command.Op == wire.OpStart:
+		case command.Op == wire.OpStart && i < 0:
 			w.launches++
-			if i < 0 {
-				w.launch(now, command)
-			}
+			w.launch(now, command)
 		case i < 0:
 		case command.Op == wire.OpStop:
 			w.stop(now, w.tasks[i], command)
@@ -432,21 +385,14 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	held := false
-	if w.config.HoldCommand != nil && len(push.Commands) > 0 {
-		if hold := w.config.HoldCommand(); hold > 0 {
-			held = true
-			time.Sleep(hold)
-		}
-	}
-	w.awaitResume()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if held {
-		defer panic(http.ErrAbortHandler)
+	if w.ended {
+		panic(http.ErrAbortHandler) // the machine is gone: there is no answer
 	}
 	status, now := http.StatusConflict, time.Now()
-	if !w.ended && push.FencingToken >= w.baton && push.Incarnation == w.shift {
+	w.checkLease(now)
+	if push.FencingToken >= w.baton && push.Incarnation == w.shift {
 		status = http.StatusOK
 		w.adopt(now, push.FencingToken)
 		if len(push.Commands) > 0 {
@@ -462,7 +408,6 @@
 // runReports reports to the controllers.
 func (w *Worker) runReports() {
 	for {
-		w.awaitResume()
 		w.mu.Lock()
 		if w.ended {
 			w.mu.Unlock()
@@ -472,31 +417,12 @@
 		heartbeat, node := w.report(), w.config.Nodes[w.node]
 		w.mu.Unlock()
 		sent := time.Now()
-		w.copyReport(heartbeat)
 		status, answer := w.send(node, heartbeat)
-		w.awaitResume()
-		if time.Since(sent) > reportTimeout {
-			status = 0
-		}
 		wait, regular := w.handleAnswer(sent, heartbeat.Incarnation, node, status, answer)
 		w.awaitNext(sent, wait, regular)
 	}
 }
 
-// copyReport lets a copy of a report arrive again at all controllers.
-func (w *Worker) copyReport(heartbeat wire.Heartbeat) {
-	if w.config.CopyReport == nil {
-		return
-	}
-	if delay := w.config.CopyReport(); delay > 0 {
-		time.AfterFunc(delay, func() {
-			for _, node := range w.config.Nodes {
-				go func() { _, _ = w.send(node, heartbeat) }()
-			}
-		})
-	}
-}
-
 // send sends a report. The status is 0 if there is no answer in time.
 func (w *Worker) send(node Node, heartbeat wire.Heartbeat) (status int, answer []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -525,6 +451,7 @@
 ) (wait time.Duration, regular bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.checkLease(time.Now())
 	switch status {
 	case http.StatusOK:
 		var response wire.HeartbeatResponse
