A lease renewer ignores late updates of an earlier watch

Cause: the earlier watch and the new one shared their state. A response to the earlier watch that arrived after the reset advanced the resolved timestamp before the new list's ended jobs were applied. Until they were, the follower renewed leases without a launch and stop of attempts whose launch may still arrive.

Change: each watch has its own endedJobs, in a file of its own, which also decides which commands accompany a renewal; a late update changes only the state that was discarded. A job that is known as ended is not read again.

Test: TestLateUpdateOfEarlierWatchIsIgnored. Before: "the response is {FencingToken:7 Commands:[]}, want nil while the attempts of run-1 are being read". Now it passes, as do the packages follower, scenario/leaders and scenario/cancellation with the race detector.

--- /dev/null
+++ b/internal/follower/ended_jobs.go
@@ -0,0 +1,111 @@
+package follower
+
+import (
+	"slices"
+	"sync"
+
+	"saffronbend/internal/micros"
+	"saffronbend/internal/openjobs"
+	"saffronbend/wire"
+)
+
+// endedJobs is what one watch of the open-job records has found of jobs in a final state. It decides which commands
+// must accompany the renewal of a worker's lease, and whether the lease may be renewed at all. It is safe for
+// concurrent use.
+type endedJobs struct {
+	mu       sync.Mutex                 // guards the following fields
+	ended    map[wire.JobID]bool        // jobs in a final state
+	resolved openjobs.ResolvedTimestamp // the time up to which the ended jobs are known
+	// lateLaunches contains the recorded attempts of ended jobs whose launch may still arrive, by machine.
+	lateLaunches map[wire.MachineID][]lateLaunch
+}
+
+// lateLaunch is an attempt of an ended job whose launch may still arrive at the worker, as long as the worker is in the
+// incarnation that the attempt was granted for. Renewing the worker's lease prolongs that incarnation. A worker that
+// does not know the attempt is sent a launch and a stop of it.
+type lateLaunch struct {
+	job         wire.JobID
+	task        string
+	attempt     wire.AttemptID
+	incarnation wire.AgentIncarnation
+	until       micros.Timestamp // time from which it is too late to send the launch and the stop
+}
+
+func newEndedJobs() *endedJobs {
+	return &endedJobs{ended: map[wire.JobID]bool{}, lateLaunches: map[wire.MachineID][]lateLaunch{}}
+}
+
+// contains reports whether a job is known to have ended.
+func (j *endedJobs) contains(job wire.JobID) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ended[job]
+}
+
+// resolvedAt returns the time up to which the ended jobs are known, 0 if no update was applied.
+func (j *endedJobs) resolvedAt() micros.Timestamp {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.resolved.At()
+}
+
+// fresh reports whether the ended jobs are known up to a time that is less than maxAge before now.
+func (j *endedJobs) fresh(now micros.Timestamp, maxAge micros.Duration) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.resolved.Fresh(now, maxAge)
+}
+
+// apply adds the ended jobs that were found in an update of the open-job records, and removes those whose records were
+// deleted. A job's records are deleted only once none of its attempts can exist any more.
+func (j *endedJobs) apply(found *endedJobs, update openjobs.Update) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for job := range found.ended {
+		j.ended[job] = true
+	}
+	for machine, launches := range found.lateLaunches {
+		j.lateLaunches[machine] = append(j.lateLaunches[machine], launches...)
+	}
+	for _, job := range update.Removed {
+		delete(j.ended, job)
+		for machine, known := range j.lateLaunches {
+			j.lateLaunches[machine] = slices.DeleteFunc(known, func(l lateLaunch) bool { return l.job == job })
+		}
+	}
+	j.resolved.Advance(update.RequestedAt)
+}
+
+// commands returns the commands that must accompany the renewal of a worker's lease. ok is false if the lease must not
+// be renewed: it is too late to launch and stop an attempt, and only the end of the worker's incarnation ensures that a
+// late launch can't start it.
+func (j *endedJobs) commands(now micros.Timestamp, heartbeat *wire.Heartbeat) (commands []wire.Command, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	commands = []wire.Command{}
+	for _, task := range heartbeat.Tasks {
+		job, _, ok := wire.ParseTaskName(task.Task)
+		if ok && j.ended[job] && task.State != wire.TaskExited {
+			commands = append(commands, wire.StopCommand(task.Task, task.Attempt, 0))
+		}
+	}
+	for _, launch := range j.lateLaunches[heartbeat.Machine] {
+		if launch.incarnation != heartbeat.Incarnation || launch.arrived(heartbeat) {
+			continue
+		}
+		if now >= launch.until {
+			return nil, false
+		}
+		commands = append(commands,
+			wire.Command{Op: wire.OpStart, Task: launch.task, Attempt: launch.attempt},
+			wire.StopCommand(launch.task, launch.attempt, 0))
+	}
+	return commands, true
+}
+
+// arrived reports whether a worker's heartbeat lists the attempt, so that a copy of its launch has no effect.
+func (l lateLaunch) arrived(heartbeat *wire.Heartbeat) bool {
+	return slices.ContainsFunc(heartbeat.Tasks, func(task wire.TaskStatus) bool {
+		return task.Task == l.task && task.Attempt == l.attempt
+	})
+}
--- a/internal/follower/lease_renewer.go
+++ b/internal/follower/lease_renewer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -47,28 +46,13 @@
 	cfg   Config
 	token wire.FencingToken
 
-	mu         sync.Mutex                 // guards the following fields
-	validUntil micros.Timestamp           // time until which worker leases may be renewed; 0: not registered
-	ended      map[wire.JobID]bool        // jobs in a final state
-	resolved   openjobs.ResolvedTimestamp // the time up to which the ended jobs are known
-	// possibleLaunches contains the recorded attempts of ended jobs, by the worker's machine. A launch of such an
-	// attempt may still arrive at the worker during the incarnation of the worker that the attempt was granted for, and
-	// renewing the worker's lease prolongs that incarnation.
-	possibleLaunches map[wire.MachineID][]endedAttempt
-}
-
-// endedAttempt is an attempt of a job that has ended. A worker that does not know the attempt is sent a launch and a
-// stop of it.
-type endedAttempt struct {
-	job         wire.JobID
-	task        string
-	attempt     wire.AttemptID
-	incarnation wire.AgentIncarnation
-	until       micros.Timestamp // time from which it is too late to send the launch and the stop
+	mu         sync.Mutex       // guards the following fields
+	validUntil micros.Timestamp // time until which worker leases may be renewed; 0: not registered
+	jobs       *endedJobs       // known from the current watch of the open-job records
 }
 
 func newLeaseRenewer(cfg Config, token wire.FencingToken) *leaseRenewer {
-	return &leaseRenewer{cfg: cfg, token: token}
+	return &leaseRenewer{cfg: cfg, token: token, jobs: newEndedJobs()}
 }
 
 // run keeps this controller registered while leaderContactLost returns true, and updates validUntil accordingly, until
@@ -143,61 +127,47 @@
 }
 
 // startWatch reads the open-job records and watches them in the background until stop is called. An error means that
-// the records can't be read now. stop is never nil.
+// the records can't be read now. stop is never nil. What earlier watches have found is discarded: a late update of one
+// of them changes nothing, because it applies to that watch's own endedJobs.
 func (r *leaseRenewer) startWatch(ctx context.Context, group *routine.Group) (stop context.CancelFunc, err error) {
 	initial := openjobs.Update{RequestedAt: r.cfg.Clock.Now()}
 	var revision uint64
 	if initial.Records, revision, err = r.cfg.Store.List(ctx, state.OpenJobPrefix); err != nil {
 		return func() {}, err
 	}
-	r.reset()
+	jobs := newEndedJobs()
+	r.setJobs(jobs)
 	ctx, stop = context.WithCancel(ctx)
 	watcher := openjobs.Watcher{Store: r.cfg.Store, Clock: r.cfg.Clock, OnServed: r.cfg.Health.RecordStoreResponse}
 	group.Go(func() {
-		r.applyOpenJobs(ctx, initial)
-		watcher.Run(ctx, revision, func(update openjobs.Update) { r.applyOpenJobs(ctx, update) })
+		r.applyOpenJobs(ctx, jobs, initial)
+		watcher.Run(ctx, revision, func(update openjobs.Update) { r.applyOpenJobs(ctx, jobs, update) })
 	})
 	return stop, nil
 }
 
-// reset discards all knowledge of ended jobs.
-func (r *leaseRenewer) reset() {
+func (r *leaseRenewer) setJobs(jobs *endedJobs) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ended, r.possibleLaunches = map[wire.JobID]bool{}, map[wire.MachineID][]endedAttempt{}
-	r.resolved = openjobs.ResolvedTimestamp{}
+	r.jobs = jobs
 }
 
-// applyOpenJobs applies an update of the open-job records. It does not apply the update's ended jobs, nor advance the
-// resolved timestamp, until the attempts of these jobs have been read.
-func (r *leaseRenewer) applyOpenJobs(ctx context.Context, update openjobs.Update) {
-	var ended []wire.JobID
-	attempts := map[wire.MachineID][]endedAttempt{}
+// applyOpenJobs applies an update of the open-job records to what their watch has found. It does not apply the update's
+// ended jobs, nor advance the resolved timestamp, until the attempts of these jobs have been read.
+func (r *leaseRenewer) applyOpenJobs(ctx context.Context, jobs *endedJobs, update openjobs.Update) {
+	resolvedAt := jobs.resolvedAt()
+	found := newEndedJobs()
 	for _, item := range update.Records {
-		if !r.hasEnded(item) {
+		job := openjobs.JobIDFromKey(item.Key)
+		if !r.hasEnded(item) || jobs.contains(job) {
 			continue
 		}
-		job := openjobs.JobIDFromKey(item.Key)
-		ended = append(ended, job)
-		if !r.readAttempts(ctx, job, attempts) {
+		found.ended[job] = true
+		if !r.readAttempts(ctx, job, resolvedAt, found) {
 			return
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, job := range ended {
-		r.ended[job] = true
-	}
-	for machine, found := range attempts {
-		r.possibleLaunches[machine] = append(r.possibleLaunches[machine], found...)
-	}
-	for _, job := range update.Removed {
-		delete(r.ended, job)
-		for machine, known := range r.possibleLaunches {
-			r.possibleLaunches[machine] = slices.DeleteFunc(known, func(a endedAttempt) bool { return a.job == job })
-		}
-	}
-	r.resolved.Advance(update.RequestedAt)
+	jobs.apply(found, update)
 }
 
 // hasEnded reports whether an open-job record is of a job in a final state. It decodes no other field of the record. A
@@ -212,17 +182,18 @@
 	return record.FinalState != ""
 }
 
-// readAttempts adds the recorded attempts of an ended job to attempts, unless the leader already knew that the job had
-// ended. It retries until the read succeeds, and returns false if ctx ended first.
+// readAttempts adds the recorded attempts of an ended job to found, unless the leader already knew that the job had
+// ended. resolvedAt is the time up to which the ended jobs were known before. It retries until the read succeeds, and
+// returns false if ctx ended first.
 func (r *leaseRenewer) readAttempts(
-	ctx context.Context, job wire.JobID, attempts map[wire.MachineID][]endedAttempt,
+	ctx context.Context, job wire.JobID, resolvedAt micros.Timestamp, found *endedJobs,
 ) bool {
-	cancelledAt, needed := r.earliestCancellation(job)
+	cancelledAt, needed := r.earliestCancellation(job, resolvedAt)
 	for needed {
 		items, _, err := r.cfg.Store.List(ctx, state.ProgressPrefix+string(job)+"/")
 		if err == nil {
 			for _, item := range items {
-				r.addAttempts(attempts, job, item, cancelledAt)
+				r.addAttempts(job, item, cancelledAt, found)
 			}
 			return true
 		}
@@ -240,33 +211,33 @@
 // the store. A leader that can reach the store knows all cancellations older than LeaderLeaseTTL, so a job that is
 // still in the latest snapshot was cancelled no earlier than LeaderLeaseTTL before that arrival. If the job is not in
 // the latest snapshot, the leader already knew that it had ended.
-func (r *leaseRenewer) earliestCancellation(job wire.JobID) (at micros.Timestamp, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if resolvedAt := r.resolved.At(); resolvedAt != 0 {
+func (r *leaseRenewer) earliestCancellation(
+	job wire.JobID, resolvedAt micros.Timestamp,
+) (at micros.Timestamp, ok bool) {
+	if resolvedAt != 0 {
 		return resolvedAt, true
 	}
 	return r.cfg.Health.LeaderStoreReachableAt().Add(-r.cfg.LeaderLeaseTTL), r.cfg.Health.JobInSnapshot(job)
 }
 
-// addAttempts adds the attempts in a progress record of a job to attempts. cancelledAt is the earliest time at which
-// the job can have been cancelled. If the record cannot be decoded, this is logged, and only the attempts that were
-// decoded are added, if any.
-func (r *leaseRenewer) addAttempts(attempts map[wire.MachineID][]endedAttempt, job wire.JobID, item wire.KeyValue,
-	cancelledAt micros.Timestamp) {
+// addAttempts adds the attempts in a progress record of an ended job to found. cancelledAt is the earliest time at
+// which the job can have been cancelled. If the record cannot be decoded, this is logged, and only the attempts that
+// were decoded are added, if any.
+func (r *leaseRenewer) addAttempts(
+	job wire.JobID, item wire.KeyValue, cancelledAt micros.Timestamp, found *endedJobs,
+) {
 	var progress state.ProgressRecord
 	if err := json.Unmarshal(item.Value, &progress); err != nil {
 		r.cfg.Log.Error("cannot decode a progress record", "key", item.Key, "error", err)
 	}
-	cancelTimeout := micros.Seconds(r.cfg.Settings.Deployment.Workers.CancelS)
-	until := cancelledAt.Add(manager.LaunchAndStopWindow(cancelTimeout))
+	window := manager.LaunchAndStopWindow(micros.Seconds(r.cfg.Settings.Deployment.Workers.CancelS))
 	for _, placement := range progress.Active {
-		attempts[placement.Machine] = append(attempts[placement.Machine], endedAttempt{
+		found.lateLaunches[placement.Machine] = append(found.lateLaunches[placement.Machine], lateLaunch{
 			job:         job,
 			task:        wire.TaskName(job, placement.Task),
 			attempt:     placement.Attempt,
 			incarnation: placement.Incarnation,
-			until:       until,
+			until:       cancelledAt.Add(window),
 		})
 	}
 }
@@ -275,37 +246,14 @@
 func (r *leaseRenewer) respond(heartbeat *wire.Heartbeat) *wire.HeartbeatResponse {
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	fresh := r.resolved.Fresh(now, r.cfg.Settings.MaxStaleness())
-	if now >= r.validUntil || !fresh || heartbeat.FencingToken > r.token {
+	validUntil, jobs := r.validUntil, r.jobs
+	r.mu.Unlock()
+	if now >= validUntil || heartbeat.FencingToken > r.token || !jobs.fresh(now, r.cfg.Settings.MaxStaleness()) {
 		return nil
 	}
-	response := &wire.HeartbeatResponse{FencingToken: r.token, Commands: []wire.Command{}}
-	for _, task := range heartbeat.Tasks {
-		job, _, ok := wire.ParseTaskName(task.Task)
-		if ok && r.ended[job] && task.State != wire.TaskExited {
-			response.Commands = append(response.Commands, wire.StopCommand(task.Task, task.Attempt, 0))
-		}
-	}
-	for _, attempt := range r.possibleLaunches[heartbeat.Machine] {
-		switch {
-		case attempt.incarnation != heartbeat.Incarnation || attempt.reportedIn(heartbeat):
-		case now < attempt.until:
-			response.Commands = append(response.Commands,
-				wire.Command{Op: wire.OpStart, Task: attempt.task, Attempt: attempt.attempt},
-				wire.StopCommand(attempt.task, attempt.attempt, 0))
-		default:
-			// It is too late to launch and stop the attempt. The lease must expire, because only the end of the
-			// worker's incarnation ensures that a late launch can't start the attempt.
-			return nil
-		}
+	commands, ok := jobs.commands(now, heartbeat)
+	if !ok {
+		return nil
 	}
-	return response
-}
-
-// reportedIn reports whether a worker's heartbeat lists the attempt.
-func (a endedAttempt) reportedIn(heartbeat *wire.Heartbeat) bool {
-	return slices.ContainsFunc(heartbeat.Tasks, func(task wire.TaskStatus) bool {
-		return task.Task == a.task && task.Attempt == a.attempt
-	})
+	return &wire.HeartbeatResponse{FencingToken: r.token, Commands: commands}
 }
--- a/internal/follower/lease_renewer_test.go
+++ b/internal/follower/lease_renewer_test.go
@@ -13,7 +13,9 @@
 	"saffronbend/internal/health"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/openjobs"
+	"saffronbend/internal/routine"
 	"saffronbend/internal/settings"
+	"saffronbend/internal/snapshot"
 	"saffronbend/internal/state"
 	"saffronbend/wire"
 )
@@ -61,9 +63,8 @@
 		Store:    store,
 		Health:   health.NewMonitor(clock),
 	}, token)
-	renewer.reset()
-	renewer.applyOpenJobs(t.Context(), openjobs.Update{RequestedAt: clock.Now()})
-	renewer.applyOpenJobs(t.Context(), openjobs.Update{
+	renewer.applyOpenJobs(t.Context(), renewer.jobs, openjobs.Update{RequestedAt: clock.Now()})
+	renewer.applyOpenJobs(t.Context(), renewer.jobs, openjobs.Update{
 		RequestedAt: clock.Now(),
 		Records: []wire.KeyValue{
 			record(t, state.OpenJobKey("run-1"), state.OpenJobRecord{FinalState: wire.JobCancelled}),
@@ -131,12 +132,12 @@
 		time.Sleep(time.Minute)
 		now := renewer.cfg.Clock.Now()
 		renewer.setValidUntil(now.Add(micros.Second))
-		renewer.applyOpenJobs(t.Context(), openjobs.Update{RequestedAt: now})
+		renewer.applyOpenJobs(t.Context(), renewer.jobs, openjobs.Update{RequestedAt: now})
 		if response := renewer.respond(heartbeat); response != nil {
 			t.Errorf("the response is %+v, want nil because a late launch could start the attempt", response)
 		}
 		// A job's records are deleted only once none of its attempts can exist any more.
-		renewer.applyOpenJobs(t.Context(), openjobs.Update{RequestedAt: now, Removed: []wire.JobID{"run-1"}})
+		renewer.applyOpenJobs(t.Context(), renewer.jobs, openjobs.Update{RequestedAt: now, Removed: []wire.JobID{"run-1"}})
 		if response := renewer.respond(heartbeat); response == nil {
 			t.Error("no response after the job's records were deleted")
 		}
@@ -153,3 +154,64 @@
 		}
 	})
 }
+
+// slowStore is a fakeStore whose watches and lists of progress records wait for a message, whatever their context.
+type slowStore struct {
+	fakeStore
+	watched, listed chan struct{}
+}
+
+func (s *slowStore) List(ctx context.Context, prefix string) ([]wire.KeyValue, uint64, error) {
+	if strings.HasPrefix(prefix, state.ProgressPrefix) {
+		<-s.listed
+	}
+	return s.fakeStore.List(ctx, prefix)
+}
+
+func (s *slowStore) Watch(context.Context, string, uint64, time.Duration) (*wire.WatchResponse, error) {
+	<-s.watched
+	return &wire.WatchResponse{Revision: 2}, nil
+}
+
+// A late response to an earlier watch must not make the cancellations that the current watch knows count as fresh: the
+// jobs in its first list are not known as ended until their attempts have been read.
+func TestLateUpdateOfEarlierWatchIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		renewer := newTestRenewer(t)
+		store := &slowStore{watched: make(chan struct{}), listed: make(chan struct{})}
+		renewer.cfg.Store = store
+		var group routine.Group
+		ctx, cancel := context.WithCancel(t.Context())
+		start := func() (stop context.CancelFunc) {
+			stop, err := renewer.startWatch(ctx, &group)
+			if err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			return stop
+		}
+		respond := func() *wire.HeartbeatResponse { return renewer.respond(&wire.Heartbeat{Machine: "m1", Incarnation: 5}) }
+		stopEarlier := start()
+		stopEarlier()
+		progress := state.ProgressRecord{Active: []state.Placement{{Task: 0, Machine: "m1", Attempt: 3, Incarnation: 5}}}
+		store.records = []wire.KeyValue{
+			record(t, state.OpenJobKey("run-1"), state.OpenJobRecord{FinalState: wire.JobCancelled}),
+			record(t, state.ProgressKey("run-1", 0), progress),
+		}
+		renewer.cfg.Health.RecordSnapshot(&snapshot.Snapshot{StoreAvailable: true, Jobs: []*snapshot.Job{{ID: "run-1"}}})
+		start()
+		store.watched <- struct{}{} // the response to the earlier watch
+		synctest.Wait()
+		if response := respond(); response != nil {
+			t.Errorf("the response is %+v, want nil while the attempts of run-1 are being read", response)
+		}
+		store.listed <- struct{}{}
+		synctest.Wait()
+		if response := respond(); response == nil || len(response.Commands) != 2 {
+			t.Errorf("the response is %+v, want a launch and a stop", response)
+		}
+		cancel()
+		close(store.watched)
+		group.Wait()
+	})
+}
