A lease renewer answers for every late launch of an ended job

The machine's log in the case has renewals without commands.

Change: the attempts of every ended job are read. The health monitor remembers until when a job was published. New log line "launches of ended jobs may still arrive". No message or record changes: the production version publishes the same leases.

--- a/internal/follower/lease_renewer.go
+++ b/internal/follower/lease_renewer.go
@@ -155,7 +155,7 @@
 // applyOpenJobs applies an update of the open-job records to what their watch has found. It does not apply the update's
 // ended jobs, nor advance the resolved timestamp, until the attempts of these jobs have been read.
 func (r *leaseRenewer) applyOpenJobs(ctx context.Context, jobs *endedJobs, update openjobs.Update) {
-	resolvedAt := jobs.resolvedAt()
+	bounds := newCancellationBounds(r.cfg.Health, r.cfg.LeaderLeaseTTL, jobs.resolvedAt())
 	found := newEndedJobs()
 	for _, item := range update.Records {
 		job := openjobs.JobIDFromKey(item.Key)
@@ -163,11 +163,15 @@
 			continue
 		}
 		found.ended[job] = true
-		if !r.readAttempts(ctx, job, resolvedAt, found) {
+		if !r.readAttempts(ctx, job, bounds, found) {
 			return
 		}
 	}
 	jobs.apply(found, update)
+	if len(found.lateLaunches) > 0 {
+		r.cfg.Log.Info("launches of ended jobs may still arrive",
+			"jobs", len(found.ended), "machines", len(found.lateLaunches))
+	}
 }
 
 // hasEnded reports whether an open-job record is of a job in a final state. It decodes no other field of the record. A
@@ -182,18 +186,16 @@
 	return record.FinalState != ""
 }
 
-// readAttempts adds the recorded attempts of an ended job to found, unless the leader already knew that the job had
-// ended. resolvedAt is the time up to which the ended jobs were known before. It retries until the read succeeds, and
-// returns false if ctx ended first.
+// readAttempts adds the recorded attempts of an ended job whose launch may still arrive to found. It retries until the
+// read succeeds, and returns false if ctx ended first. Once a job has ended, no further attempts of it are recorded.
 func (r *leaseRenewer) readAttempts(
-	ctx context.Context, job wire.JobID, resolvedAt micros.Timestamp, found *endedJobs,
+	ctx context.Context, job wire.JobID, bounds *cancellationBounds, found *endedJobs,
 ) bool {
-	cancelledAt, needed := r.earliestCancellation(job, resolvedAt)
-	for needed {
+	for {
 		items, _, err := r.cfg.Store.List(ctx, state.ProgressPrefix+string(job)+"/")
 		if err == nil {
 			for _, item := range items {
-				r.addAttempts(job, item, cancelledAt, found)
+				r.addAttempts(job, item, bounds, found)
 			}
 			return true
 		}
@@ -201,30 +203,12 @@
 			return false
 		}
 	}
-	return true
 }
 
-// earliestCancellation returns the earliest time at which a job that has now been found ended can have been cancelled.
-// ok is false if the leader already knew that the job had ended.
-//
-// While the resolved timestamp is 0, the time follows from the arrival of the latest snapshot whose leader could reach
-// the store. A leader that can reach the store knows all cancellations older than LeaderLeaseTTL, so a job that is
-// still in the latest snapshot was cancelled no earlier than LeaderLeaseTTL before that arrival. If the job is not in
-// the latest snapshot, the leader already knew that it had ended.
-func (r *leaseRenewer) earliestCancellation(
-	job wire.JobID, resolvedAt micros.Timestamp,
-) (at micros.Timestamp, ok bool) {
-	if resolvedAt != 0 {
-		return resolvedAt, true
-	}
-	return r.cfg.Health.LeaderStoreReachableAt().Add(-r.cfg.LeaderLeaseTTL), r.cfg.Health.JobInSnapshot(job)
-}
-
-// addAttempts adds the attempts in a progress record of an ended job to found. cancelledAt is the earliest time at
-// which the job can have been cancelled. If the record cannot be decoded, this is logged, and only the attempts that
-// were decoded are added, if any.
+// addAttempts adds the attempts in a progress record of an ended job whose launch may still arrive to found. If the
+// record cannot be decoded, this is logged, and only the attempts that were decoded are added, if any.
 func (r *leaseRenewer) addAttempts(
-	job wire.JobID, item wire.KeyValue, cancelledAt micros.Timestamp, found *endedJobs,
+	job wire.JobID, item wire.KeyValue, bounds *cancellationBounds, found *endedJobs,
 ) {
 	var progress state.ProgressRecord
 	if err := json.Unmarshal(item.Value, &progress); err != nil {
@@ -232,6 +216,10 @@
 	}
 	window := manager.LaunchAndStopWindow(micros.Seconds(r.cfg.Settings.Deployment.Workers.CancelS))
 	for _, placement := range progress.Active {
+		cancelledAt, mayArrive := bounds.earliestCancellation(job, placement)
+		if !mayArrive {
+			continue
+		}
 		found.lateLaunches[placement.Machine] = append(found.lateLaunches[placement.Machine], lateLaunch{
 			job:         job,
 			task:        wire.TaskName(job, placement.Task),
@@ -253,6 +241,7 @@
 	}
 	commands, ok := jobs.commands(now, heartbeat)
 	if !ok {
+		r.cfg.Log.Debug("worker lease not renewed: a launch of an ended job may arrive", "machine", heartbeat.Machine)
 		return nil
 	}
 	return &wire.HeartbeatResponse{FencingToken: r.token, Commands: commands}
--- a/internal/follower/lease_renewer_test.go
+++ b/internal/follower/lease_renewer_test.go
@@ -61,7 +61,7 @@
 		Log:      slog.New(slog.DiscardHandler),
 		Clock:    clock,
 		Store:    store,
-		Health:   health.NewMonitor(clock),
+		Health:   health.NewMonitor(clock, micros.Seconds(cfg.Deployment.Workers.CancelS)),
 	}, token)
 	renewer.applyOpenJobs(t.Context(), renewer.jobs, openjobs.Update{RequestedAt: clock.Now()})
 	renewer.applyOpenJobs(t.Context(), renewer.jobs, openjobs.Update{
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -1,10 +1,13 @@
 // Package health tracks what a controller last observed of the cluster: when the key-value store last responded to it,
-// when the latest snapshot of a leader that could reach the store arrived, and the progress of the jobs in the latest
-// snapshot. The goroutines that talk to the store and to the leader record their observations here; the health check,
-// the job status API and the lease renewer read them. The package makes no scheduling decisions.
+// the latest snapshot and when the latest one of a leader that could reach the store arrived, and until when the leader
+// published jobs that it no longer publishes. The goroutines that talk to the store and to the leader record their
+// observations here; the health check, the job status API and the lease renewer read them. The package makes no
+// scheduling decisions.
 package health
 
 import (
+	"maps"
+	"sync"
 	"sync/atomic"
 
 	"saffronbend/internal/micros"
@@ -23,54 +26,103 @@
 // Monitor holds the observations of one controller. It is safe for concurrent use.
 type Monitor struct {
 	clock                micros.Clock
+	removedJobRetention  micros.Duration
 	lastStoreResponse    atomic.Int64 // time of the store's latest response
 	leaderStoreReachable atomic.Int64 // arrival of the latest snapshot of a leader that could reach the store
-	progress             atomic.Pointer[map[wire.JobID]taskCounts]
+	latest               atomic.Pointer[observedSnapshot]
+
+	mu sync.Mutex // guards removedJobs
+	// removedJobs holds the jobs that recent snapshots contained and the latest one does not. The value is the arrival of
+	// the latest snapshot of a leader that could reach the store when the job was last in a snapshot.
+	removedJobs map[wire.JobID]micros.Timestamp
+}
+
+// observedSnapshot is a snapshot with an index of the progress of its jobs. It is immutable.
+type observedSnapshot struct {
+	snapshot *snapshot.Snapshot
+	progress map[wire.JobID]taskCounts
 }
 
 type taskCounts struct{ done, running int }
 
-// NewMonitor returns a monitor without observations.
-func NewMonitor(clock micros.Clock) *Monitor { return &Monitor{clock: clock} }
+// NewMonitor returns a monitor without observations. removedJobRetention, in microseconds, is how long it remembers
+// until when a job was published that is no longer in the latest snapshot.
+func NewMonitor(clock micros.Clock, removedJobRetention micros.Duration) *Monitor {
+	return &Monitor{
+		clock:               clock,
+		removedJobRetention: removedJobRetention,
+		removedJobs:         map[wire.JobID]micros.Timestamp{},
+	}
+}
 
 // RecordStoreResponse records that the store has just responded to this controller successfully.
 func (m *Monitor) RecordStoreResponse() { m.lastStoreResponse.Store(int64(m.clock.Now())) }
 
 // RecordSnapshot records the leader's latest snapshot.
 func (m *Monitor) RecordSnapshot(published *snapshot.Snapshot) {
-	progress := make(map[wire.JobID]taskCounts, len(published.Jobs))
+	observed := &observedSnapshot{snapshot: published, progress: make(map[wire.JobID]taskCounts, len(published.Jobs))}
 	for _, job := range published.Jobs {
-		progress[job.ID] = taskCounts{job.Done, job.Running}
+		observed.progress[job.ID] = taskCounts{job.Done, job.Running}
+	}
+	if previous := m.latest.Swap(observed); previous != nil {
+		m.recordRemovedJobs(previous, observed)
 	}
-	m.progress.Store(&progress)
 	if published.StoreAvailable {
 		m.leaderStoreReachable.Store(int64(m.clock.Now()))
 	}
 }
 
+// recordRemovedJobs records the jobs of the previous snapshot that the latest one does not contain, and forgets those
+// that were recorded too long ago.
+func (m *Monitor) recordRemovedJobs(previous, latest *observedSnapshot) {
+	publishedUntil := m.LeaderStoreReachableAt()
+	oldest := m.clock.Now().Add(-m.removedJobRetention)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.removedJobs, func(_ wire.JobID, at micros.Timestamp) bool { return at < oldest })
+	for job := range previous.progress {
+		if _, ok := latest.progress[job]; !ok {
+			m.removedJobs[job] = publishedUntil
+		}
+	}
+}
+
+// LatestSnapshot returns the latest snapshot, or nil if none has arrived.
+func (m *Monitor) LatestSnapshot() *snapshot.Snapshot {
+	observed := m.latest.Load()
+	if observed == nil {
+		return nil
+	}
+	return observed.snapshot
+}
+
 // LeaderStoreReachableAt returns when the latest snapshot of a leader that could reach the store arrived, or 0 if none
 // has arrived.
 func (m *Monitor) LeaderStoreReachableAt() micros.Timestamp {
 	return micros.Timestamp(m.leaderStoreReachable.Load())
 }
 
-// JobInSnapshot reports whether the latest snapshot contains a job.
-func (m *Monitor) JobInSnapshot(job wire.JobID) bool {
-	progress := m.progress.Load()
-	if progress == nil {
-		return false
+// JobPublishedUntil returns the arrival of the latest snapshot of a leader that could reach the store when a job was
+// last in a snapshot. ok is false if no snapshot contained the job, or the last one that did arrived too long ago.
+func (m *Monitor) JobPublishedUntil(job wire.JobID) (at micros.Timestamp, ok bool) {
+	if observed := m.latest.Load(); observed != nil {
+		if _, ok := observed.progress[job]; ok {
+			return m.LeaderStoreReachableAt(), true
+		}
 	}
-	_, ok := (*progress)[job]
-	return ok
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok = m.removedJobs[job]
+	return at, ok
 }
 
 // Progress returns how many of a job's tasks are done and how many are running, according to the latest snapshot.
 func (m *Monitor) Progress(job wire.JobID) (done, running int) {
-	progress := m.progress.Load()
-	if progress == nil {
+	observed := m.latest.Load()
+	if observed == nil {
 		return 0, 0
 	}
-	counts := (*progress)[job]
+	counts := observed.progress[job]
 	return counts.done, counts.running
 }
 
--- a/node.go
+++ b/node.go
@@ -63,7 +63,7 @@
 			storeLimits.WriteRPS*urgentWriteShare),
 		cloud:  cloud.New(network.Dial, cfg.Services.Cloud, cfg.PerController(deployment.Cloud.RPS)),
 		types:  &machinetypes.Catalog{},
-		health: health.NewMonitor(clock),
+		health: health.NewMonitor(clock, micros.Seconds(deployment.Workers.CancelS)),
 	}
 	node.placer = placement.New(placement.Config{
 		Controller: cfg.Member,
