The leader lets a lease expire if a late launch can't be stopped in time

With lease_s 25.9 and cancel_s 30, which `check` accepts, a task of a cancelled job starts 36 s after its user was told.

Cause: once it is too late to launch and stop an attempt in one response, the leader renewed the lease without both, and took it for granted that the worker has begun a new incarnation by then. A lease may outlast that time by 0.97 s.

Change: Manager.leaseMustExpire. A heartbeat that does not list the attempt gets no response then, as from a follower.

The unit test of the window also demands that there is no response; before: "got false, want true".

--- a/internal/manager/cancellation_test.go
+++ b/internal/manager/cancellation_test.go
@@ -8,16 +8,18 @@
 	"saffronbend/wire"
 )
 
-// The period in which the response to a heartbeat after a late launch of a cancelled job contains a launch and a stop
-// is measured from the earliest time at which the cancellation can have been confirmed to the user.
+// The period in which the response to a heartbeat contains a launch and a stop of an attempt of a cancelled job, whose
+// pushed launch may still arrive, is measured from the earliest time at which the cancellation can have been confirmed
+// to the user. After that, a heartbeat without the attempt gets no response, so that the agent's lease expires.
 func TestLateLaunchIsStoppedOnlyWithinTheCancelTimeout(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		age      micros.Duration
 		commands int // 2: launch and stop
+		dropped  bool
 	}{
-		{"soon after the cancellation", 2 * micros.Second, 2},
-		{"when the cancel timeout is nearly over", 26 * micros.Second, 0},
+		{"soon after the cancellation", 2 * micros.Second, 2, false},
+		{"when the cancel timeout is nearly over", 26 * micros.Second, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, nil, nil)
@@ -32,6 +34,10 @@
 			h.m.OpenJobRecordChanged(h.now, confirmedAt, 0, cancelled, h.revision)
 			response := h.heartbeat("n-1-a", token, 1)
 			h.want(strings.Count(response, "run-1/0"), c.commands)
+			h.want(response == "dropped", c.dropped)
+			exited := taskStatus("run-1/0", firstAttempt, "ended halted")
+			h.want(h.heartbeat("n-1-a", token, 1, exited), "")
+			h.want(h.heartbeat("n-1-a", token, 2), "")
 		})
 	}
 }
--- a/internal/manager/commands.go
+++ b/internal/manager/commands.go
@@ -96,13 +96,26 @@
 
 // mayStopLateLaunch reports whether an attempt of a job, after a push of its launch with an unknown outcome, may be
 // launched and stopped in one response. Such an attempt is never cleared, so that a push arriving late finds it known
-// to the agent and starts nothing. This is safe because an agent that has received no response until the cancel timeout
-// is nearly over has begun a new incarnation by then, since that timeout is longer than its lease; and because agents
-// discard responses that are older than responseLifetime.
+// to the agent and starts nothing. This is safe because agents discard responses that are older than responseLifetime.
+// An agent that reports later than that without the attempt gets no response, see leaseMustExpire.
 func (m *Manager) mayStopLateLaunch(now micros.Timestamp, job *jobState) bool {
 	return !job.final() || now < job.finalSince.Add(LaunchAndStopWindow(m.cfg.CancelTimeout))
 }
 
+// leaseMustExpire reports whether the lease of a machine's agent must not be renewed: a launch of an ended job may
+// still arrive in the agent's incarnation, the agent does not list the attempt, and it is too late to launch and stop
+// it in one response. Only the end of the incarnation then ensures that the launch starts nothing. Followers that renew
+// leases on the leader's behalf keep the same rule.
+func (m *Manager) leaseMustExpire(now micros.Timestamp, machine *machineState) bool {
+	for _, attempt := range machine.attempts {
+		if attempt.incarnation == machine.agent.incarnation && !attempt.listed && attempt.stop.requested &&
+			attempt.launch.mayArriveByPush() && !m.mayStopLateLaunch(now, attempt.job) {
+			return true
+		}
+	}
+	return false
+}
+
 func launchCommand(attempt *taskAttempt) wire.Command {
 	return wire.Command{Op: wire.OpStart, Task: attempt.taskName, Attempt: attempt.id}
 }
--- a/internal/manager/heartbeat.go
+++ b/internal/manager/heartbeat.go
@@ -41,6 +41,9 @@
 	if machine.agent.setRelay(relayedBy) {
 		m.pushes.addCandidate(machine)
 	}
+	if m.leaseMustExpire(now, machine) {
+		return nil, false
+	}
 	machine.agent.recordResponse(now)
 	if !overtaken {
 		response.Commands = m.responseCommands(now, machine, heartbeat, mayLaunch)
