Fields of messages from outside are known only by their exact names

Cause: encoding/json, and segmentio/encoding for heartbeats, take a name that differs from a field's only in case for the field, and the last one wins.

Change: wire.Unmarshal, on the library that decodes heartbeats, with its flag for exact names.

The test of the heartbeats' decoder demanded that {"BOX":"n-1"} be accepted, which was the fault; that body has moved to the heartbeats without a machine, which must be rejected.

--- a/client/client.go
+++ b/client/client.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -151,7 +150,7 @@
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusCreated:
 		status = new(wire.JobStatus)
-		if err := json.Unmarshal(body, status); err != nil {
+		if err := wire.Unmarshal(body, status); err != nil {
 			return nil, minRetryDelay, fmt.Errorf("the answer of %s can't be read: %w", server, err)
 		}
 		return status, 0, nil
@@ -165,7 +164,7 @@
 // errorReason returns the error message in a response body or, if there is none, the lower-case status line.
 func errorReason(body []byte, statusLine string) string {
 	var response wire.ErrorResponse
-	if json.Unmarshal(body, &response) == nil && response.Error != "" {
+	if wire.Unmarshal(body, &response) == nil && response.Error != "" {
 		return response.Error
 	}
 	return strings.ToLower(statusLine)
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -127,6 +127,19 @@
 	})
 }
 
+// A field that the protocol does not know must not replace a known one.
+func TestResponseNamesMatchExactly(t *testing.T) {
+	client, _ := newClient(response{200, `{"id":"run-000412","status":"running","Status":"done"}`},
+		response{404, `{"error":"no such job","ERROR":"x"}`})
+	status, err := client.Status(t.Context(), "run-000412")
+	if err != nil || status.State != "running" {
+		t.Errorf("got status %+v, error %v; want running", status, err)
+	}
+	if _, err = client.Status(t.Context(), "run-000412"); err == nil || !strings.Contains(err.Error(), "no such job") {
+		t.Errorf("got error %v, want the reason no such job", err)
+	}
+}
+
 func TestRefusedErrors(t *testing.T) {
 	client, servers := newClient(
 		response{422, `{"error":"unknown team"}`}, response{404, `{"error":"no such job"}`}, response{400, ``})
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -77,7 +76,7 @@
 	if response == nil {
 		return nil
 	}
-	if err := json.Unmarshal(encoded, response); err != nil {
+	if err := wire.Unmarshal(encoded, response); err != nil {
 		return fmt.Errorf("cloud: decode response: %w", err)
 	}
 	return nil
@@ -93,7 +92,7 @@
 		return ErrUnavailable
 	case http.StatusServiceUnavailable:
 		var refusal wire.ErrorResponse
-		if json.Unmarshal(body, &refusal) == nil && refusal.Error == ErrNoCapacity.Error() {
+		if wire.Unmarshal(body, &refusal) == nil && refusal.Error == ErrNoCapacity.Error() {
 			return ErrNoCapacity
 		}
 		return ErrUnavailable
--- a/internal/cloud/cloud_test.go
+++ b/internal/cloud/cloud_test.go
@@ -108,6 +108,19 @@
 	}
 }
 
+// A field that the protocol does not know must not replace a known one.
+func TestResponseNamesMatchExactly(t *testing.T) {
+	client := newClient(t, respond(http.StatusOK, `{"boxes":["n-1"],"Boxes":["n-2"]}`))
+	ids, err := client.ScaleOut(t.Context(), wire.ScaleOutRequest{RequestID: "r-17"})
+	if err != nil || !slices.Equal(ids, []wire.MachineID{"n-1"}) {
+		t.Errorf("got IDs %v, error %v", ids, err)
+	}
+	client = newClient(t, respond(http.StatusServiceUnavailable, `{"error":"trouble","Error":"no capacity"}`))
+	if _, err = client.ScaleOut(t.Context(), wire.ScaleOutRequest{}); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("got error %v, want ErrUnavailable", err)
+	}
+}
+
 func TestScaleInSendsMachineIDs(t *testing.T) {
 	client := newClient(t, expectRequest(t, http.MethodPost, "/machines/delete", `{"boxes":["n-1","n-2"]}`, ``))
 	if err := client.ScaleIn(t.Context(), []wire.MachineID{"n-1", "n-2"}); err != nil {
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -104,7 +103,7 @@
 		if req.response == nil {
 			return status, nil
 		}
-		if err := json.Unmarshal(body, req.response); err != nil {
+		if err := wire.Unmarshal(body, req.response); err != nil {
 			return 0, fmt.Errorf("state: decode response: %w", err)
 		}
 	}
--- a/internal/state/client_test.go
+++ b/internal/state/client_test.go
@@ -156,6 +156,15 @@
 
 // List must return the revision of the first page: a watch from a later revision would miss changes to keys that had
 // already been read.
+// A field that the protocol does not know must not replace a known one.
+func TestResponseNamesMatchExactly(t *testing.T) {
+	client := newClient(t, respond(http.StatusOK, `{"k":"a","value":1,"stamp":5,"Stamp":9,"\u212a":"b"}`))
+	entry, err := client.Get(t.Context(), "a")
+	if err != nil || entry.Version != 5 || entry.Key != "a" {
+		t.Errorf("got entry %+v, error %v; want version 5 of a", entry, err)
+	}
+}
+
 func TestListReadsAllPages(t *testing.T) {
 	pages := map[string]string{
 		"":    `{"entries":[{"k":"c/1","stamp":1},{"k":"c/2","stamp":2}],"truncated":true,"ledger":10}`,
--- a/wire/heartbeat.go
+++ b/wire/heartbeat.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-
-	"github.com/segmentio/encoding/json"
 )
 
 // Paths of the API between controllers and workers.
@@ -78,11 +76,11 @@
 // DecodeHeartbeat decodes a worker's heartbeat. The result keeps no reference to the body. DecodeHeartbeat returns an
 // error if the body is not valid JSON, does not have the form of a heartbeat, or has no machine ID.
 //
-// Heartbeats are by far the most frequent messages, and each lists every task of a machine. They are therefore decoded
-// with a library that is several times faster than encoding/json and accepts the same input.
+// Heartbeats are by far the most frequent messages, and each lists every task of a machine. The library behind
+// Unmarshal decodes them several times faster than encoding/json.
 func DecodeHeartbeat(body []byte) (*Heartbeat, error) {
 	heartbeat := new(Heartbeat)
-	if err := json.Unmarshal(body, heartbeat); err != nil {
+	if err := Unmarshal(body, heartbeat); err != nil {
 		return nil, fmt.Errorf("decode heartbeat: %w", err)
 	}
 	if heartbeat.Machine == "" {
--- a/wire/heartbeat_test.go
+++ b/wire/heartbeat_test.go
@@ -19,14 +19,15 @@
 		`"shift":1,"tick":88,"baton":41,"recall_s":null,"pieces":[` + strings.Join(list, ",") + `]}`)
 }
 
-// DecodeHeartbeat must return the same results as encoding/json and reject the same inputs.
+// DecodeHeartbeat must return the same results as encoding/json and reject the same inputs, apart from names in another
+// case (TestUnmarshalIgnoresNamesInOtherCase).
 func TestDecodeHeartbeatMatchesEncodingJSON(t *testing.T) {
 	bodies := []string{string(heartbeatBody(0)), string(heartbeatBody(3)),
 		`{"box":"n-1","recall_s":12.5,"pieces":null}`,
 		`{"box":"n-1","tick":18446744073709551615,"unknown":{"a":[1,2,{"b":null}]}}`,
 		`{"box":"n-\u0031\n\"x\"","pieces":[{"piece":"run-1/0","try":2,"status":"ended","cause":"halted","saved":true}]}`,
 		` { "box" : "n-1" , "pieces" : [ ] } `,
-		`{"box":"n-1","tick":1,"tick":2}`, `{"BOX":"n-1"}`,
+		`{"box":"n-1","tick":1,"tick":2}`,
 		`{"box":"n-1","tick":18446744073709551616}`, `{"box":"n-1","tick":-1}`, `{"box":"n-1","tick":1.5}`,
 		`{"box":"n-1","tick":"1"}`, `{"box":1}`, `{"box":"n-1","pieces":{}}`, `{"box":"n-1"`, `{"box":"n-1"}}`,
 		`{"box":"n-1",}`, `["n-1"]`, `"n-1"`, `n-1`, ``, `{"box":"n-1"} x`, `{"box":"n-1","loaners":1}`,
@@ -47,7 +48,7 @@
 
 // A heartbeat without a machine ID can't be attributed to a machine and must be rejected.
 func TestDecodeHeartbeatWithoutMachine(t *testing.T) {
-	for _, body := range []string{`{}`, `null`, `{"box":""}`} {
+	for _, body := range []string{`{}`, `null`, `{"box":""}`, `{"BOX":"n-1"}`} {
 		if _, err := DecodeHeartbeat([]byte(body)); err == nil {
 			t.Errorf("%s: got no error", body)
 		}
--- a/wire/job_validation.go
+++ b/wire/job_validation.go
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	job := new(Job)
-	if err := json.Unmarshal(body, job); err != nil {
+	if err := Unmarshal(body, job); err != nil {
 		var typeError *json.UnmarshalTypeError
 		if errors.As(err, &typeError) {
 			return nil, &FieldError{typeError.Field, problemInvalid}
--- a/wire/job_validation_test.go
+++ b/wire/job_validation_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -83,6 +84,29 @@
 	}
 }
 
+// A field whose name differs from a known one only in case is unknown. It must not replace the known one (a job of
+// three tasks was called done after one), nor stand for a missing one.
+func TestParseJobIgnoresNamesInOtherCase(t *testing.T) {
+	want, err := ParseJob([]byte(validSubmission))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, unknown := range []string{`"Pieces":1`, `"ID":"run-9"`, `"CORES":"many"`, `"Yard":"b"`, `"Due_S":-1`} {
+		for _, body := range []string{
+			strings.TrimSuffix(validSubmission, "}") + "," + unknown + "}",
+			"{" + unknown + "," + strings.TrimPrefix(validSubmission, "{"),
+		} {
+			if job, err := ParseJob([]byte(body)); err != nil || !reflect.DeepEqual(job, want) {
+				t.Errorf("with %s: got %+v, %v; want %+v", unknown, job, err, want)
+			}
+		}
+	}
+	_, err = ParseJob(replaceOnce(t, `"pieces":16`, `"Pieces":16`))
+	if err == nil || err.Error() != `field "pieces" is missing` {
+		t.Errorf("got error %v for a submission without pieces", err)
+	}
+}
+
 func TestParseJobIgnoresUnknownAndOmittedFields(t *testing.T) {
 	body := strings.Replace(validSubmission, `{"id"`, `{"mood":"calm","id"`, 1)
 	body = strings.Replace(body, `"yard":null,`, ``, 1)
