Settings are known only by their exact names

The platform may add settings, and unknown ones are to be ignored.

Cause: the TOML library, too, takes a name that differs from a setting's only in case for that setting. Its order is random, so Cpus_Max replaced cpus_max at one start and not at the next, and Lease_S stood for a missing lease_s.

Change: entries whose names differ from known ones only in case are removed before the file is decoded. A file without such entries is decoded as before, so errors have the same lines. Ruled out: mapstructure, which can match names exactly, but takes 2.5 for a whole number.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -124,6 +124,10 @@
 // wraps an InvalidValueError for the first invalid setting, or one for each invalid option.
 func Parse(data, options []byte) (*Settings, error) {
 	s := new(Settings)
+	data, err := withoutNamesInOtherCase(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	if err := toml.Unmarshal(data, s); err != nil {
 		var parseError toml.ParseError
 		if errors.As(err, &parseError) {
