A job's failures keep it from a machine for a minute, and the fleet knows it

Cause: the scheduler avoided the machine, and the fleet packed the job into it, so nothing was unmet and no machine was requested. And a job avoided a machine until it succeeded elsewhere or had failed on three, which never comes where fewer fit. The claim names both; a gang's refused start has the same effect.

The count of failures, from which a job's backoff follows, is as before. New step "repair" of the scenario language.

--- a/internal/fake/worker_faults.go
+++ b/internal/fake/worker_faults.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// FailAllTasks makes every task that starts from now on exit with an error.
-func (w *Worker) FailAllTasks() { w.inbox <- func() { w.faults.failAllTasks = true } }
+// FailAllTasks sets whether every task that starts from now on exits with an error.
+func (w *Worker) FailAllTasks(fail bool) { w.inbox <- func() { w.faults.failAllTasks = fail } }
 
 // SetSlowdown makes the fetches of images, the runs of tasks and the saves of checkpoints that begin from now on take
 // longer by a factor.
--- a/internal/fleet/bins.go
+++ b/internal/fleet/bins.go
@@ -60,9 +60,10 @@
 	return count
 }
 
-// isAvailableTo reports whether the demand's job may use the bin: the bin is reserved for that job or for none.
+// isAvailableTo reports whether the demand's job may use the bin: the bin is reserved for that job or for none, and the
+// job does not avoid the machine.
 func (b *bin) isAvailableTo(d *demand) bool {
-	return b.reservedForJob == "" || b.reservedForJob == d.ID
+	return (b.reservedForJob == "" || b.reservedForJob == d.ID) && !d.Avoids(b.machine)
 }
 
 // capacityFor returns the capacity that the demand's tasks may use. Expected tasks, replacements and the tasks of gangs
--- a/internal/manager/evictions.go
+++ b/internal/manager/evictions.go
@@ -166,6 +166,6 @@
 func (m *Manager) mayHostSuccessor(now micros.Timestamp, machine *machineState, job *jobState) bool {
 	return machine.reservedForJob == "" && m.usable(now, machine) &&
 		job.spec().Allows(machine.machineType, machine.zone, machine.spot) &&
-		job.failuresByMachine[machine.id] == 0 &&
+		!job.avoids(machine.id) &&
 		(job.gang != nil || zoneAllows(job, machine.zone))
 }
--- a/internal/manager/exits.go
+++ b/internal/manager/exits.go
@@ -70,7 +70,8 @@
 	if m.ledger != nil {
 		machine.unwrittenResults = append(machine.unwrittenResults, completedTask{job: job, task: exit.task})
 	}
-	job.failuresByMachine = map[wire.MachineID]int{}
+	clear(job.failuresByMachine)
+	clear(job.avoidedUntil)
 	// For an attempt that began under an earlier leader, only the end of the run is known.
 	if exit.belongsTo(attempt) && attempt.grantedThisTerm && attempt.runningSince != 0 {
 		runTime := now.Sub(attempt.runningSince)
@@ -99,7 +100,7 @@
 
 // applyGangExit handles the exit of a gang's task that has no result. If the task exited because a peer had terminated
 // or because the gang was not complete in time, that says nothing about the machine. The first failure in a gang does:
-// the gang is not placed on that machine again until it has succeeded elsewhere.
+// the gang avoids that machine for a while.
 func (m *Manager) applyGangExit(now micros.Timestamp, exit taskExit, attempt *taskAttempt) {
 	firstFailure := exit.job.gang.Phase() != gang.Aborting
 	switch reason := exit.status.ExitReason; {
@@ -108,6 +109,6 @@
 	case firstFailure && reason == wire.ExitError:
 		m.recordFailure(now, exit.machine, exit.job)
 	case firstFailure && refusedByMachine(reason):
-		m.recordRefusal(exit.machine, exit.job)
+		m.recordRefusal(now, exit.machine, exit.job)
 	}
 }
--- a/internal/manager/gangs_test.go
+++ b/internal/manager/gangs_test.go
@@ -75,8 +75,8 @@
 	h.grantGang("n-2-a", "n-3-a")
 }
 
-// A machine that refuses a gang's task is avoided for that gang, but the refusal does not count as a failure of the
-// machine.
+// A machine that refuses a gang's task is avoided for that gang for a while, but the refusal does not count as a
+// failure of the machine.
 func TestGangAvoidsMachineThatRefusesIt(t *testing.T) {
 	for _, reason := range []wire.ExitReason{wire.ExitInsufficientResources, wire.ExitConflictingAttempt} {
 		t.Run(string(reason), func(t *testing.T) {
@@ -87,6 +87,9 @@
 			machine := h.m.machines.byID["n-1-a"]
 			h.want(h.m.eligibleFor(machine, h.m.jobs.byID["run-1"]), false)
 			h.want(machine.health.consecutiveFailures, 0)
+			h.advance(avoidancePeriod)
+			h.tick()
+			h.want(h.m.eligibleFor(machine, h.m.jobs.byID["run-1"]), true)
 		})
 	}
 }
--- a/internal/manager/health.go
+++ b/internal/manager/health.go
@@ -20,6 +20,9 @@
 	minFailingMachinesForBackoff = 3
 	// maxJobBackoff bounds the time for which a failing job is not placed.
 	maxJobBackoff = micros.Minute
+	// avoidancePeriod is how long a job avoids a machine on which it has failed. It must end: the machine may be the only
+	// one that fits, and mostly works again or has been quarantined by then.
+	avoidancePeriod = micros.Minute
 	// unreliablePeriod is how long a machine is avoided for gangs after a gang failed because the machine stopped
 	// reporting.
 	unreliablePeriod = micros.Minute
@@ -69,7 +72,7 @@
 // recordFailure attributes a failed attempt to the machine or to the job. A machine with consecutive failures is
 // quarantined. If a job has failed on several machines, the failure is attributed to the job, which then backs off.
 func (m *Manager) recordFailure(now micros.Timestamp, machine *machineState, job *jobState) {
-	job.failuresByMachine[machine.id]++
+	m.avoidMachine(now, machine, job)
 	if machines := len(job.failuresByMachine); machines >= minFailingMachinesForBackoff {
 		const maxDoublings = 6
 		backoff := micros.Second << min(maxDoublings, machines-minFailingMachinesForBackoff+1)
@@ -85,13 +88,42 @@
 	}
 }
 
-// recordRefusal records that an agent refused to start a task of a gang. The gang is not placed on that machine again
-// until it has succeeded elsewhere.
-func (m *Manager) recordRefusal(machine *machineState, job *jobState) {
-	job.failuresByMachine[machine.id]++
+// recordRefusal records that an agent refused to start a task of a gang. The gang avoids that machine for a while.
+func (m *Manager) recordRefusal(now micros.Timestamp, machine *machineState, job *jobState) {
+	m.avoidMachine(now, machine, job)
 	m.publisher.markJob(job)
 }
 
+// avoidMachine counts a failure of a job on a machine, which the job avoids for the avoidance period.
+func (m *Manager) avoidMachine(now micros.Timestamp, machine *machineState, job *jobState) {
+	job.failuresByMachine[machine.id]++
+	job.avoidedUntil[machine.id] = now.Add(avoidancePeriod)
+	m.avoidingJobs[job.id()] = true
+}
+
+// avoids reports whether no task of the job is placed on a machine because the job has failed there.
+func (job *jobState) avoids(machine wire.MachineID) bool {
+	_, avoided := job.avoidedUntil[machine]
+	return avoided
+}
+
+// endAvoidances lets jobs use the machines again whose avoidance period is over.
+func (m *Manager) endAvoidances(now micros.Timestamp) {
+	for id := range m.avoidingJobs {
+		job := m.jobs.byID[id]
+		if job == nil || len(job.avoidedUntil) == 0 {
+			delete(m.avoidingJobs, id)
+			continue
+		}
+		for machine, until := range job.avoidedUntil {
+			if now >= until {
+				delete(job.avoidedUntil, machine)
+				m.publisher.markJob(job)
+			}
+		}
+	}
+}
+
 // refusedByMachine reports whether the agent refused to start a task because of other work on its machine.
 func refusedByMachine(reason wire.ExitReason) bool {
 	return reason == wire.ExitInsufficientResources || reason == wire.ExitConflictingAttempt
--- a/internal/manager/health_test.go
+++ b/internal/manager/health_test.go
@@ -28,6 +28,36 @@
 	h.want(h.grant("run-1", "n-3-a", 1), 1)
 }
 
+// A job avoids a machine on which it has failed for a limited time: the machine may be the only one that fits.
+// Schedulers and the fleet see in the snapshot which machines it avoids.
+func TestJobAvoidsMachineForLimitedTime(t *testing.T) {
+	h := newHarness(t, nil, nil)
+	h.start("n-1-a")
+	h.submit("run-1", 1, nil)
+	h.want(h.grant("run-1", "n-1-a", 1), 1)
+	h.commitWrites()
+	h.heartbeat("n-1-a", token, 1)
+	h.heartbeat("n-1-a", token, 1, taskStatus("run-1/0", firstAttempt, "ended error"))
+	for _, c := range []struct {
+		after  micros.Duration
+		avoids bool
+	}{
+		{0, true},
+		{avoidancePeriod - 1, true},
+		{1, false},
+	} {
+		h.advance(c.after)
+		h.tick()
+		job := h.m.Snapshot(h.now).Jobs[0]
+		h.want(job.Avoids("n-1-a"), c.avoids)
+		h.want(job.Avoids("n-2-a"), false)
+		h.want(h.m.eligibleFor(h.m.machines.byID["n-1-a"], h.m.jobs.byID["run-1"]), !c.avoids)
+	}
+	h.want(len(h.m.avoidingJobs), 1)
+	h.tick()
+	h.want(len(h.m.avoidingJobs), 0)
+}
+
 // A machine that runs two consecutive tasks of a job far slower than other machines do is quarantined.
 func TestSlowMachineIsQuarantined(t *testing.T) {
 	h := newHarness(t, nil, nil)
--- a/internal/manager/jobs.go
+++ b/internal/manager/jobs.go
@@ -50,9 +50,12 @@
 	// failuresByMachine counts the failed attempts on each machine since the job's last success. A job that fails on
 	// every machine backs off instead of being restarted in a hot loop.
 	failuresByMachine map[wire.MachineID]int
-	backoffUntil      micros.Timestamp
-	normalRuns        int             // completed runs that were not far too slow
-	normalRunTime     micros.Duration // total run time of normalRuns
+	// avoidedUntil holds the machines on which the job is not placed for a while, because one of its attempts failed or
+	// was refused there.
+	avoidedUntil  map[wire.MachineID]micros.Timestamp
+	backoffUntil  micros.Timestamp
+	normalRuns    int             // completed runs that were not far too slow
+	normalRunTime micros.Duration // total run time of normalRuns
 	// waitingSince is the time since which tasks have been waiting without any of them being placed.
 	waitingSince micros.Timestamp
 }
@@ -184,6 +187,7 @@
 		active:            map[int]*taskAttempt{},
 		shards:            map[int]*progressShard{},
 		failuresByMachine: map[wire.MachineID]int{},
+		avoidedUntil:      map[wire.MachineID]micros.Timestamp{},
 		waitingSince:      now,
 	}
 	if record.Job.Kind == wire.KindGang {
--- a/internal/manager/machines.go
+++ b/internal/manager/machines.go
@@ -148,6 +148,7 @@
 	m.accountCosts(now)
 	m.expireReservations(now)
 	m.restoreReservations(now)
+	m.endAvoidances(now)
 	for _, machine := range m.machines.sorted() {
 		m.tickMachine(now, machine)
 	}
@@ -212,7 +213,7 @@
 // failures. It does not check whether the machine is usable.
 func (m *Manager) eligibleFor(machine *machineState, job *jobState) bool {
 	return job.spec().Allows(machine.machineType, machine.zone, machine.spot) &&
-		zoneAllows(job, machine.zone) && job.failuresByMachine[machine.id] == 0
+		zoneAllows(job, machine.zone) && !job.avoids(machine.id)
 }
 
 // maxTasksWhenEmpty returns the number of tasks of a job that fit on the machine if nothing else runs there.
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -80,6 +80,8 @@
 	resumePreemptionAt wire.JobID
 	estimates          runTimeEstimator
 	costs              costAccount
+	// avoidingJobs holds the jobs that avoid machines on which they have failed.
+	avoidingJobs map[wire.JobID]bool
 
 	publisher       snapshotPublisher
 	teamAssignments map[wire.TeamName]string
--- a/internal/manager/published.go
+++ b/internal/manager/published.go
@@ -117,7 +117,7 @@
 		}
 	}
 	if len(job.failuresByMachine) < minFailingMachinesForBackoff {
-		published.AvoidMachines = slices.Sorted(maps.Keys(job.failuresByMachine))
+		published.AvoidMachines = slices.Sorted(maps.Keys(job.avoidedUntil))
 	}
 	return published
 }
--- a/internal/manager/recovery.go
+++ b/internal/manager/recovery.go
@@ -52,6 +52,7 @@
 		teamAssignments: map[wire.TeamName]string{},
 		storeAvailable:  true,
 		replacements:    map[wire.JobID]int{},
+		avoidingJobs:    map[wire.JobID]bool{},
 	}
 	m.reservations = newReservationTable(&m.publisher)
 	if cfg.TrackDisruptions {
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -232,8 +232,13 @@
 
 func hangMachine(_ *harness, _ wire.MachineID, worker *fake.Worker, _ []string) { worker.Hang() }
 func failTasks(_ *harness, _ wire.MachineID, worker *fake.Worker, _ []string) {
-	worker.FailAllTasks()
+	worker.FailAllTasks(true)
 }
+
+func repairMachine(_ *harness, _ wire.MachineID, worker *fake.Worker, _ []string) {
+	worker.FailAllTasks(false)
+}
+
 func killMachine(h *harness, id wire.MachineID, _ *fake.Worker, _ []string) { h.cloud.FailMachine(id) }
 func reclaimMachine(h *harness, id wire.MachineID, _ *fake.Worker, _ []string) {
 	h.cloud.ReclaimMachine(id)
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -72,6 +72,7 @@
 	"hang":       {"MACHINE", "the machine hangs", 1, machineStep(hangMachine)},
 	"resume":     {"MACHINE", "a machine that hangs continues", 1, (*harness).resumeMachine},
 	"fail-tasks": {"MACHINE", "every task fails on the machine", 1, machineStep(failTasks)},
+	"repair":     {"MACHINE", "tasks no longer fail on the machine", 1, machineStep(repairMachine)},
 	"slow": {"MACHINE FACTOR", "everything takes so many times as long on the machine", 2,
 		machineStep(slowMachine)},
 	"kill":    {"MACHINE", "the machine stops with all that runs on it", 1, machineStep(killMachine)},
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -111,7 +111,7 @@
 	if machine.ReservedForJob != "" && machine.ReservedForJob != j.ID {
 		return false
 	}
-	return j.Allows(machine.machineType, machine.Zone, machine.Spot) && !slices.Contains(j.AvoidMachines, machine.ID)
+	return j.Allows(machine.machineType, machine.Zone, machine.Spot) && !j.Avoids(machine.ID)
 }
 
 // maxTasksOn returns how many tasks of the job can be placed on the machine now, at most limit.
--- a/internal/snapshot/job.go
+++ b/internal/snapshot/job.go
@@ -1,6 +1,8 @@
 package snapshot
 
 import (
+	"slices"
+
 	"saffronbend/internal/micros"
 	"saffronbend/internal/resources"
 	"saffronbend/wire"
@@ -41,7 +43,8 @@
 	Deadline   micros.Timestamp `json:"due,omitempty"` // 0 means none
 	// WaitingSince is the time since which tasks have been waiting without any of them being placed.
 	WaitingSince micros.Timestamp `json:"since"`
-	// AvoidMachines lists machines on which tasks of the job have failed.
+	// AvoidMachines lists machines on which tasks of the job have failed, and on which none is placed for a while. They
+	// count for no decision about the job's tasks: neither for where to place them nor for how many machines they need.
 	AvoidMachines []wire.MachineID `json:"avoid,omitempty"`
 
 	ArrivalSeq       uint64 `json:"-"` // orders jobs by their acceptance
@@ -56,6 +59,9 @@
 	return spec.Allows(machineType, zone, spot)
 }
 
+// Avoids reports whether no task of the job is placed on a machine because tasks of the job have failed there.
+func (j *Job) Avoids(machine wire.MachineID) bool { return slices.Contains(j.AvoidMachines, machine) }
+
 // CompletedRun is a run of a task that completed with a result. Schedulers use the completed runs to estimate how long
 // tasks take on which machines.
 type CompletedRun struct {
