A lease renewer removes jobs that a complete list no longer contains

Cause: after a compaction, the watch delivers a complete list, in which missing jobs have been removed and Removed is empty (openjobs.Update). The lease renewer looked at Removed only. A machine that does not list an attempt of such a job would have got no renewal for as long as that watch lasted. On the safe side, but its tasks would have been lost.

Change: endedJobs.removedBy. Test: TestCompleteListRemovesJobs; before, "the response is <nil>, want a renewal without commands".

--- a/internal/follower/ended_jobs.go
+++ b/internal/follower/ended_jobs.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -67,7 +68,7 @@
 	for machine, launches := range found.lateLaunches {
 		j.lateLaunches[machine] = append(j.lateLaunches[machine], launches...)
 	}
-	for _, job := range update.Removed {
+	for _, job := range j.removedBy(update) {
 		delete(j.ended, job)
 		for machine, known := range j.lateLaunches {
 			j.lateLaunches[machine] = slices.DeleteFunc(known, func(l lateLaunch) bool { return l.job == job })
@@ -76,6 +77,18 @@
 	j.resolved.Advance(update.RequestedAt)
 }
 
+// removedBy returns the ended jobs whose records were deleted according to an update.
+func (j *endedJobs) removedBy(update openjobs.Update) []wire.JobID {
+	if update.CompleteAt == 0 {
+		return update.Removed
+	}
+	removed := maps.Clone(j.ended)
+	for _, item := range update.Records {
+		delete(removed, openjobs.JobIDFromKey(item.Key))
+	}
+	return slices.Collect(maps.Keys(removed))
+}
+
 // commands returns the commands that must accompany the renewal of a worker's lease. ok is false if the lease must not
 // be renewed: it is too late to launch and stop an attempt, and only the end of the worker's incarnation ensures that a
 // late launch can't start it.
--- a/internal/follower/lease_renewer_test.go
+++ b/internal/follower/lease_renewer_test.go
@@ -144,6 +144,28 @@
 	})
 }
 
+// A complete list, which the store sends after it has compacted the events, also shows that a job's records were
+// deleted. Otherwise the lease of the machine would not be renewed for as long as this watch lasts.
+func TestCompleteListRemovesJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		renewer := newTestRenewer(t)
+		time.Sleep(time.Minute)
+		now := renewer.cfg.Clock.Now()
+		renewer.setValidUntil(now.Add(micros.Second))
+		heartbeat := &wire.Heartbeat{Machine: "m1", Incarnation: 5}
+		ended := record(t, state.OpenJobKey("run-1"), state.OpenJobRecord{FinalState: wire.JobCancelled})
+		renewer.applyOpenJobs(t.Context(), renewer.jobs,
+			openjobs.Update{RequestedAt: now, CompleteAt: 9, Records: []wire.KeyValue{ended}})
+		if response := renewer.respond(heartbeat); response != nil {
+			t.Errorf("the response is %+v, want nil while the job's records exist", response)
+		}
+		renewer.applyOpenJobs(t.Context(), renewer.jobs, openjobs.Update{RequestedAt: now, CompleteAt: 10})
+		if response := renewer.respond(heartbeat); response == nil || len(response.Commands) != 0 {
+			t.Errorf("the response is %+v, want a renewal without commands", response)
+		}
+	})
+}
+
 func TestRespondRefusesRenewalOnStaleCancellations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		renewer := newTestRenewer(t)
