--- a/internal/scenario/loopback/burst_test.go
+++ b/internal/scenario/loopback/burst_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -123,7 +122,8 @@
 			var err error
 			var logs bytes.Buffer
 			variant := readBurst(t, disabled)
-			synctest.Test(t, func(t *testing.T) {
+			scenario.InBubble(t, func(t *testing.T) {
+				t.Helper()
 				events, err = variant.RunOn(t.Context(), fake.NewNetwork(), &logs)
 			})
 			if err != nil {
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -24,9 +24,6 @@
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scenarios in %s: %v", dir, err)
 	}
-	// With thousands of timers in one synctest bubble, several threads make the race detector's runtime crash. One
-	// thread also makes the order of events vary less.
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for _, file := range files {
 		name := strings.TrimSuffix(filepath.Base(file), extension)
 		t.Run(name, func(t *testing.T) { runVariants(t, Read(t, file)) })
@@ -60,11 +57,19 @@
 	}
 }
 
+// InBubble calls run on a virtual clock, in a synctest bubble with a single thread: with thousands of timers in one
+// bubble, several threads make the race detector's runtime crash. One thread also makes the order of events vary less.
+func InBubble(t *testing.T, run func(t *testing.T)) {
+	t.Helper()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, run)
+}
+
 func runInBubble(t *testing.T, scenario *Scenario) {
 	t.Helper()
 	var logs bytes.Buffer
 	var err error
-	synctest.Test(t, func(t *testing.T) {
+	InBubble(t, func(t *testing.T) {
 		t.Helper()
 		err = scenario.Run(t.Context(), &logs)
 	})
