--- a/internal/fake/worker_commands.go
+++ b/internal/fake/worker_commands.go
@@ -124,6 +124,9 @@
 		machineType := w.config.MachineTypes[w.machine.Type]
 		w.images[task.job.Image] = time.Now().Add(w.applySlowdown(seconds(task.job.ImageGB / machineType.FetchGBPS)))
 	}
+	if !time.Now().Before(w.images[task.job.Image]) {
+		w.config.Checker.TaskLaunched(task.id)
+	}
 }
 
 // admissionFailure returns why the machine cannot run a task in addition to its other tasks, or an empty reason if it
--- a/internal/fake/worker_test.go
+++ b/internal/fake/worker_test.go
@@ -224,6 +224,30 @@
 	}
 }
 
+// TestLaunchesCountOnlyWithImage checks that a launch counts, even if a stop follows at once, if the machine has the
+// task's image, and that a repeated launch or one without the image doesn't.
+func TestLaunchesCountOnlyWithImage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorkerTest(t)
+		launchAndStop := []wire.Command{startCommand(testJob+"/0", 1), stopCommand(testJob+"/0", 0)}
+		launchAfterwards := []wire.Command{startCommand(testJob+"/1", 1), stopCommand(testJob+"/1", 0)}
+		for _, c := range []struct {
+			commands []wire.Command
+			want     int
+		}{
+			{launchAndStop, 0},
+			{launchAfterwards, 1},
+			{launchAfterwards, 1},
+		} {
+			w.push(t, wire.CommandPush{FencingToken: 1, Incarnation: 1, Commands: c.commands})
+			time.Sleep(testHeartbeatInterval)
+			if got := w.checker.TaskLaunches(testJob); got != c.want {
+				t.Errorf("%d launches after %+v, want %d", got, c.commands, c.want)
+			}
+		}
+	})
+}
+
 // TestCheckpointIsSavedOnlyWithinGracePeriod checks that a running task saves a checkpoint before it stops if the
 // command's grace period is long enough.
 func TestCheckpointIsSavedOnlyWithinGracePeriod(t *testing.T) {
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -52,15 +52,16 @@
 	cpuLimits      map[wire.TeamName]float64 // limit of each team; 0: no limit
 	machineTypes   map[string]*wire.MachineType
 
-	mu         sync.Mutex
-	jobs       map[wire.JobID]*jobRecord
-	taskStarts map[wire.JobID]int // number of task starts of each job
-	gangStarts map[wire.JobID]int // number of gang starts of each job
-	gangTasks  map[gangAttempt]map[int]bool
-	cpusInUse  map[wire.TeamName]float64 // CPUs in use by each team
-	reclaimed  map[wire.MachineID]bool   // machines whose reclamation the cloud has announced
-	violations []Violation
-	events     []worklog.Event
+	mu           sync.Mutex
+	jobs         map[wire.JobID]*jobRecord
+	taskStarts   map[wire.JobID]int // number of task starts of each job
+	gangStarts   map[wire.JobID]int // number of gang starts of each job
+	gangTasks    map[gangAttempt]map[int]bool
+	cpusInUse    map[wire.TeamName]float64 // CPUs in use by each team
+	reclaimed    map[wire.MachineID]bool   // machines whose reclamation the cloud has announced
+	violations   []Violation
+	events       []worklog.Event
+	taskLaunches map[wire.JobID]int // launches of the job's tasks on machines that had the image
 	// startsAfterCancel counts the starts of tasks after a user saw that their job is cancelled.
 	startsAfterCancel int
 }
@@ -90,6 +91,7 @@
 		machineTypes: map[string]*wire.MachineType{},
 		jobs:         map[wire.JobID]*jobRecord{},
 		taskStarts:   map[wire.JobID]int{},
+		taskLaunches: map[wire.JobID]int{},
 		gangStarts:   map[wire.JobID]int{},
 		gangTasks:    map[gangAttempt]map[int]bool{},
 		cpusInUse:    map[wire.TeamName]float64{},
@@ -167,6 +169,15 @@
 	c.reclaimed[machine.ID] = true
 }
 
+// TaskLaunched records that a machine that has the image of a task executes a command to launch it. Unlike TaskStarted,
+// it is also called if a command that follows at once stops the task.
+func (c *Checker) TaskLaunched(task Task) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taskLaunches[task.Job]++
+	c.checkExecutionAfterCancel(c.jobs[task.Job], "is launched")
+}
+
 // TaskStarted records that a task of a submitted job is on a machine from now on.
 func (c *Checker) TaskStarted(machine Machine, task Task) {
 	c.mu.Lock()
@@ -324,6 +335,13 @@
 	return placements
 }
 
+// TaskLaunches returns how many commands to launch a task of a job were executed by machines that had its image.
+func (c *Checker) TaskLaunches(id wire.JobID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.taskLaunches[id]
+}
+
 // StartsAfterCancel returns how many tasks have started after a user saw that their job is cancelled.
 func (c *Checker) StartsAfterCancel() int {
 	c.mu.Lock()
--- a/internal/invariant/checker_test.go
+++ b/internal/invariant/checker_test.go
@@ -153,6 +153,18 @@
 			time.Sleep(testCancelDeadline + time.Second)
 			startTask(checker, machineA, 0)
 		}, ExecutionAfterCancel},
+		{"a task is launched after the cancellation deadline and stopped at once", func(checker *Checker) {
+			acceptJob(checker, nil)
+			cancelJob(checker)
+			time.Sleep(testCancelDeadline + time.Second)
+			checker.TaskLaunched(Task{testJob, 0})
+		}, ExecutionAfterCancel},
+		{"a task is launched within the cancellation deadline and stopped at once", func(checker *Checker) {
+			acceptJob(checker, nil)
+			cancelJob(checker)
+			time.Sleep(testCancelDeadline)
+			checker.TaskLaunched(Task{testJob, 0})
+		}, ""},
 		{"a task ends after the cancellation deadline", func(checker *Checker) {
 			acceptJob(checker, nil)
 			startTask(checker, machineA, 0)
--- a/internal/scenario/conditions.go
+++ b/internal/scenario/conditions.go
@@ -27,6 +27,8 @@
 		exactly(respondsEverywhere)},
 	"starts":         {"ID N", "how often its tasks have started", 2, exactly(formatted(starts))},
 	"starts-at-most": {"ID N", "how often its tasks have started", 2, atMost(starts)},
+	"launches": {"ID N", "how often its tasks were launched on machines that had the image", 2,
+		exactly(formatted(launches))},
 	"starts-after-cancel-at-most": {"N", "starts of tasks after a confirmed cancellation", 1,
 		atMost(startsAfterCancel)},
 	"gang-runs":               {"ID N", "how often the gang has started to run", 2, exactly(formatted(gangRuns))},
@@ -125,6 +127,7 @@
 func lastWord(words []string) string { return words[len(words)-1] }
 
 func starts(h *harness, words []string) int        { return h.checker.TaskStarts(wire.JobID(words[0])) }
+func launches(h *harness, words []string) int      { return h.checker.TaskLaunches(wire.JobID(words[0])) }
 func startsAfterCancel(h *harness, _ []string) int { return h.checker.StartsAfterCancel() }
 func gangRuns(h *harness, words []string) int      { return h.checker.GangStarts(wire.JobID(words[0])) }
 func runningTasks(h *harness, words []string) int {
