A lease renewer launches no attempt that is fenced off, or whose job ended at an unknown time

Cause: a lease renewer launches and stops recorded attempts of ended jobs until some seconds before cancel_s is over, counted from the earliest time of the cancellation. Where that time was unknown it was 0, and the sum was a time soon after the start of the process. For a process younger than that, "unknown" meant "just now". And it did so for attempts whose launch could not arrive any more: granted in an earlier term, so fenced off by the worker's token. The records of an ended job keep all its attempts, also cleared ones, until the last has provably terminated, across any number of terms.

Change: an attempt's identifier holds the token of the term that granted it, and only that term's leader launches it (wire.AttemptID.FencingToken). A worker that has seen a higher token needs nothing. A worker that has not gets a stop with the response whose token fences the launch off; that is never too late. For attempts of the leader's own term, a launch and a stop are sent only before a known time; where it is unknown, the lease is not renewed. micros.OptionalTimestamp says "unknown" in the type: the resolved timestamp, the observations of health, and since when a job is final. The leader computed with the same sum; a final job without a known time counted as just ended there. Such a job has no attempt that the leader launched, so nothing was seen of that. Both decisions of a renewer are logged.

Tests: those that gave attempts without the term's token now use identifiers of the term, otherwise they are the same.

--- a/internal/follower/cancellation_bounds.go
+++ b/internal/follower/cancellation_bounds.go
@@ -16,10 +16,10 @@
 // older than leaderLeaseTTL, so a job that such a leader published or granted leases to was cancelled no earlier than
 // leaderLeaseTTL before that.
 type cancellationBounds struct {
-	resolvedAt     micros.Timestamp // 0: no list or watch of the open-job records preceded
+	resolvedAt     micros.OptionalTimestamp // unknown: no list or watch of the open-job records preceded
 	health         *health.Monitor
 	leaderLeaseTTL micros.Duration
-	published      publishedLeases // of the latest snapshot; empty if resolvedAt is not 0
+	published      publishedLeases // of the latest snapshot; empty if resolvedAt is known
 }
 
 // publishedLeases is an index of the leases in a snapshot.
@@ -36,10 +36,11 @@
 }
 
 func newCancellationBounds(
-	monitor *health.Monitor, leaderLeaseTTL micros.Duration, resolvedAt micros.Timestamp,
+	monitor *health.Monitor, leaderLeaseTTL micros.Duration, resolvedAt micros.OptionalTimestamp,
 ) *cancellationBounds {
 	bounds := &cancellationBounds{resolvedAt: resolvedAt, health: monitor, leaderLeaseTTL: leaderLeaseTTL}
-	if latest := monitor.LatestSnapshot(); resolvedAt == 0 && latest != nil {
+	_, resolved := resolvedAt.Get()
+	if latest := monitor.LatestSnapshot(); !resolved && latest != nil {
 		bounds.published = indexLeases(latest)
 	}
 	return bounds
@@ -59,13 +60,14 @@
 }
 
 // earliestCancellation returns the earliest time at which a job that was found to have ended can have been cancelled,
-// as far as one of its recorded attempts shows. mayArrive is false if a launch of the attempt can't arrive any more at
-// a worker that does not list the attempt: the leader had already released it, because it had provably terminated.
-// Silence of the snapshot about a job proves nothing: the job may have been accepted after the snapshot.
+// as far as one of its recorded attempts of the leader's term shows. mayArrive is false if a launch of the attempt
+// can't arrive any more at a worker that does not list the attempt: the leader had already released it, because it had
+// provably terminated. Silence of the snapshot about a job proves nothing: the job may have been accepted after the
+// snapshot.
 func (b *cancellationBounds) earliestCancellation(
 	job wire.JobID, placement state.Placement,
-) (at micros.Timestamp, mayArrive bool) {
-	if b.resolvedAt != 0 {
+) (at micros.OptionalTimestamp, mayArrive bool) {
+	if _, resolved := b.resolvedAt.Get(); resolved {
 		return b.resolvedAt, true
 	}
 	lease := publishedLease{machine: placement.Machine, job: job, attempt: placement.Attempt}
@@ -74,11 +76,7 @@
 		// It was granted after the latest snapshot: the leader did not know of a cancellation then.
 		return b.health.LeaderStoreReachableAt().Add(-b.leaderLeaseTTL), true
 	case !b.published.leases[lease]:
-		return 0, false
+		return micros.OptionalTimestamp{}, false
 	}
-	publishedUntil, ok := b.health.JobPublishedUntil(job)
-	if !ok {
-		return 0, true // the time of the cancellation is unknown
-	}
-	return publishedUntil.Add(-b.leaderLeaseTTL), true
+	return b.health.JobPublishedUntil(job).Add(-b.leaderLeaseTTL), true
 }
--- a/internal/follower/cancellation_bounds_test.go
+++ b/internal/follower/cancellation_bounds_test.go
@@ -59,18 +59,18 @@
 				monitor.RecordSnapshot(&snapshot.Snapshot{
 					StoreAvailable: true, Machines: machines, Jobs: []*snapshot.Job{{ID: "open"}},
 				})
-				var resolvedAt micros.Timestamp
+				var resolvedAt micros.OptionalTimestamp
 				if c.resolved {
-					resolvedAt = start.Add(7 * micros.Second)
+					resolvedAt = micros.KnownTimestamp(start.Add(7 * micros.Second))
 				}
 				bounds := newCancellationBounds(monitor, leaderLeaseTTL, resolvedAt)
 				at, mayArrive := bounds.earliestCancellation(c.job, state.Placement{Machine: c.machine, Attempt: c.attempt})
-				want := start.Add(micros.Duration(c.wantAfter/time.Microsecond) - leaderLeaseTTL)
+				want := micros.KnownTimestamp(start.Add(micros.Duration(c.wantAfter/time.Microsecond) - leaderLeaseTTL))
 				if c.wantNone {
-					want = 0
+					want = micros.OptionalTimestamp{}
 				}
 				if at != want || mayArrive == c.wantNone {
-					t.Errorf("cancelled at %d or later, launch may arrive: %v; want %d, %v", at, mayArrive, want, !c.wantNone)
+					t.Errorf("cancelled at %+v or later, launch may arrive: %v; want %+v, %v", at, mayArrive, want, !c.wantNone)
 				}
 			})
 		})
@@ -80,9 +80,9 @@
 // Without any snapshot, every launch may arrive, and the time of the cancellation is unknown.
 func TestEarliestCancellationWithoutSnapshot(t *testing.T) {
 	monitor := health.NewMonitor(micros.NewClock(), 30*micros.Second)
-	bounds := newCancellationBounds(monitor, leaderLeaseTTL, 0)
+	bounds := newCancellationBounds(monitor, leaderLeaseTTL, micros.OptionalTimestamp{})
 	at, mayArrive := bounds.earliestCancellation("run-1", state.Placement{Machine: "m1", Attempt: 3})
-	if at > 0 || !mayArrive {
-		t.Errorf("cancelled at %d or later, launch may arrive: %v; want an unknown time, true", at, mayArrive)
+	if _, known := at.Get(); known || !mayArrive {
+		t.Errorf("cancelled at %+v or later, launch may arrive: %v; want an unknown time, true", at, mayArrive)
 	}
 }
--- a/internal/follower/ended_jobs.go
+++ b/internal/follower/ended_jobs.go
@@ -22,14 +22,25 @@
 }
 
 // lateLaunch is an attempt of an ended job whose launch may still arrive at the worker, as long as the worker is in the
-// incarnation that the attempt was granted for. Renewing the worker's lease prolongs that incarnation. A worker that
-// does not know the attempt is sent a launch and a stop of it.
+// incarnation that the attempt was granted for and has seen no higher fencing token than the attempt's. Renewing the
+// worker's lease prolongs that incarnation.
 type lateLaunch struct {
 	job         wire.JobID
 	task        string
 	attempt     wire.AttemptID
 	incarnation wire.AgentIncarnation
-	until       micros.Timestamp // time from which it is too late to send the launch and the stop
+	// until is the time from which it is too late to send a launch and a stop of the attempt to a worker that does not
+	// know it. If it is unknown, it may be too late already.
+	until micros.OptionalTimestamp
+}
+
+// decision is what the ended jobs demand of the response to a worker's heartbeat.
+type decision struct {
+	commands []wire.Command
+	launched []lateLaunch // the attempts that the commands launch and stop
+	// tooLate is not nil if the worker's lease must not be renewed: it is too late to launch and stop this attempt, and
+	// only the end of the worker's incarnation ensures that a late launch can't start it.
+	tooLate *lateLaunch
 }
 
 func newEndedJobs() *endedJobs {
@@ -43,8 +54,8 @@
 	return j.ended[job]
 }
 
-// resolvedAt returns the time up to which the ended jobs are known, 0 if no update was applied.
-func (j *endedJobs) resolvedAt() micros.Timestamp {
+// resolvedAt returns the time up to which the ended jobs are known, which is unknown if no update was applied.
+func (j *endedJobs) resolvedAt() micros.OptionalTimestamp {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.resolved.At()
@@ -89,31 +100,43 @@
 	return slices.Collect(maps.Keys(removed))
 }
 
-// commands returns the commands that must accompany the renewal of a worker's lease. ok is false if the lease must not
-// be renewed: it is too late to launch and stop an attempt, and only the end of the worker's incarnation ensures that a
-// late launch can't start it.
-func (j *endedJobs) commands(now micros.Timestamp, heartbeat *wire.Heartbeat) (commands []wire.Command, ok bool) {
+// decide decides on the response to a worker's heartbeat under the given fencing token.
+//
+// A launch is fenced off if the worker has seen a higher token than the attempt's. If only the given token is higher,
+// the response itself fences off the launch, and stops the attempt in case it has just been launched. That is never too
+// late.
+func (j *endedJobs) decide(now micros.Timestamp, token wire.FencingToken, heartbeat *wire.Heartbeat) decision {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	commands = []wire.Command{}
+	decided := decision{commands: j.stopsOfListed(heartbeat)}
+	for _, launch := range j.lateLaunches[heartbeat.Machine] {
+		if launch.incarnation != heartbeat.Incarnation || launch.arrived(heartbeat) ||
+			launch.fencedBy(heartbeat.FencingToken) {
+			continue
+		}
+		if !launch.fencedBy(token) {
+			if !launch.stoppable(now) {
+				return decision{tooLate: &launch}
+			}
+			decided.launched = append(decided.launched, launch)
+			decided.commands = append(decided.commands,
+				wire.Command{Op: wire.OpStart, Task: launch.task, Attempt: launch.attempt})
+		}
+		decided.commands = append(decided.commands, wire.StopCommand(launch.task, launch.attempt, 0))
+	}
+	return decided
+}
+
+// stopsOfListed returns commands to stop the tasks of ended jobs that a worker's heartbeat lists.
+func (j *endedJobs) stopsOfListed(heartbeat *wire.Heartbeat) []wire.Command {
+	commands := []wire.Command{}
 	for _, task := range heartbeat.Tasks {
 		job, _, ok := wire.ParseTaskName(task.Task)
 		if ok && j.ended[job] && task.State != wire.TaskExited {
 			commands = append(commands, wire.StopCommand(task.Task, task.Attempt, 0))
 		}
 	}
-	for _, launch := range j.lateLaunches[heartbeat.Machine] {
-		if launch.incarnation != heartbeat.Incarnation || launch.arrived(heartbeat) {
-			continue
-		}
-		if now >= launch.until {
-			return nil, false
-		}
-		commands = append(commands,
-			wire.Command{Op: wire.OpStart, Task: launch.task, Attempt: launch.attempt},
-			wire.StopCommand(launch.task, launch.attempt, 0))
-	}
-	return commands, true
+	return commands
 }
 
 // arrived reports whether a worker's heartbeat lists the attempt, so that a copy of its launch has no effect.
@@ -122,3 +145,22 @@
 		return task.Task == l.task && task.Attempt == l.attempt
 	})
 }
+
+// fencedBy reports whether a worker that has seen a fencing token executes no launch of the attempt.
+func (l lateLaunch) fencedBy(token wire.FencingToken) bool { return l.attempt.FencingToken() < token }
+
+// stoppable reports whether the attempt may be launched and stopped now.
+func (l lateLaunch) stoppable(now micros.Timestamp) bool {
+	until, known := l.until.Get()
+	return known && now < until
+}
+
+// logAttributes returns what decides about the attempt in the response to a worker's heartbeat.
+func (l lateLaunch) logAttributes(now micros.Timestamp, heartbeat *wire.Heartbeat) []any {
+	timeLeft := "unknown"
+	if until, known := l.until.Get(); known {
+		timeLeft = until.Sub(now).AsDuration().String()
+	}
+	return []any{"machine", heartbeat.Machine, "task", l.task, "attempt", l.attempt, "time_left", timeLeft,
+		"worker_token", heartbeat.FencingToken}
+}
--- a/internal/follower/lease_renewer.go
+++ b/internal/follower/lease_renewer.go
@@ -36,8 +36,8 @@
 // leaseRenewer renews worker leases on the leader's behalf while this controller has no contact with the leader, for
 // example during a network partition between zones. It responds under the leader's fencing token: workers accept a
 // response with that token from any controller. It launches no tasks. It stops the tasks of cancelled jobs. An attempt
-// of a cancelled job whose launch may still arrive at the worker is launched and stopped in one response, so that the
-// worker knows the attempt and does not start it when the late launch arrives.
+// of a cancelled job whose launch by the leader may still arrive at the worker is launched and stopped in one response,
+// so that the worker knows the attempt and does not start it when the late launch arrives.
 //
 // The leader computes the expiry of a worker's lease from when the leader itself last renewed it. Therefore a
 // leaseRenewer first registers in the store, on condition that the leader's key still has the leader's fencing token.
@@ -239,10 +239,13 @@
 	if now >= validUntil || heartbeat.FencingToken > r.token || !jobs.fresh(now, r.cfg.Settings.MaxStaleness()) {
 		return nil
 	}
-	commands, ok := jobs.commands(now, heartbeat)
-	if !ok {
-		r.cfg.Log.Debug("worker lease not renewed: a launch of an ended job may arrive", "machine", heartbeat.Machine)
+	decided := jobs.decide(now, r.token, heartbeat)
+	if late := decided.tooLate; late != nil {
+		r.cfg.Log.Info("worker lease not renewed: a launch of an ended job may arrive", late.logAttributes(now, heartbeat)...)
 		return nil
 	}
-	return &wire.HeartbeatResponse{FencingToken: r.token, Commands: commands}
+	for _, late := range decided.launched {
+		r.cfg.Log.Info("launching and stopping an attempt of an ended job", late.logAttributes(now, heartbeat)...)
+	}
+	return &wire.HeartbeatResponse{FencingToken: r.token, Commands: decided.commands}
 }
--- a/internal/follower/lease_renewer_test.go
+++ b/internal/follower/lease_renewer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"reflect"
 	"strings"
@@ -20,7 +21,12 @@
 	"saffronbend/wire"
 )
 
-const token = 7
+const (
+	token = 7
+	// lateAttempt is an attempt that the leader has granted, and earlierAttempt one of an earlier term.
+	lateAttempt    = token<<wire.AttemptNumberBits | 3
+	earlierAttempt = (token-2)<<wire.AttemptNumberBits | 3
+)
 
 // fakeStore is a store that lists the given records.
 type fakeStore struct {
@@ -48,13 +54,13 @@
 }
 
 // newTestRenewer returns a leaseRenewer that may renew worker leases for a second. It knows that run-1 has ended, with
-// attempt 3 of its first task recorded on machine m1 under incarnation 5, and that run-2 has not ended.
+// lateAttempt of its first task recorded on machine m1 under incarnation 5, and that run-2 has not ended.
 func newTestRenewer(t *testing.T) *leaseRenewer {
 	t.Helper()
 	cfg := &settings.Settings{}
 	cfg.Deployment.Workers.LeaseS, cfg.Deployment.Workers.CancelS = 10, 30
 	clock := micros.NewClock()
-	progress := state.ProgressRecord{Active: []state.Placement{{Task: 0, Machine: "m1", Attempt: 3, Incarnation: 5}}}
+	progress := state.ProgressRecord{Active: []state.Placement{{Machine: "m1", Attempt: lateAttempt, Incarnation: 5}}}
 	store := &fakeStore{records: []wire.KeyValue{record(t, state.ProgressKey("run-1", 0), progress)}}
 	renewer := newLeaseRenewer(Config{
 		Settings: cfg,
@@ -76,12 +82,13 @@
 }
 
 func TestLeaseRenewerRespond(t *testing.T) {
-	running := func(task string, attempt wire.AttemptID) []wire.TaskStatus {
+	listed := func(task string, attempt wire.AttemptID) []wire.TaskStatus {
 		return []wire.TaskStatus{{Task: task, Attempt: attempt, State: wire.TaskRunning}}
 	}
 	taskA, taskB := wire.TaskName("run-1", 0), wire.TaskName("run-2", 0)
-	launch := wire.Command{Op: wire.OpStart, Task: taskA, Attempt: 3}
-	stop := wire.StopCommand(taskA, 3, 0)
+	launch := wire.Command{Op: wire.OpStart, Task: taskA, Attempt: lateAttempt}
+	stop := wire.StopCommand(taskA, lateAttempt, 0)
+	endedRuns := listed(taskA, lateAttempt)
 	fromOther := wire.Heartbeat{Machine: "m2"}
 	fromRecorded := wire.Heartbeat{Machine: "m1", Incarnation: 5}
 	fromRestarted := wire.Heartbeat{Machine: "m1", Incarnation: 6}
@@ -93,10 +100,10 @@
 		refused   bool
 		want      []wire.Command
 	}{
-		"task of an open job":             {heartbeat: fromOther, tasks: running(taskB, 4)},
-		"task of an ended job":            {heartbeat: fromOther, tasks: running(taskA, 3), want: []wire.Command{stop}},
+		"task of an open job":             {heartbeat: fromOther, tasks: listed(taskB, 4)},
+		"task of an ended job":            {heartbeat: fromOther, tasks: endedRuns, want: []wire.Command{stop}},
 		"launch may still arrive":         {heartbeat: fromRecorded, want: []wire.Command{launch, stop}},
-		"launch has arrived":              {heartbeat: fromRecorded, tasks: running(taskA, 3), want: []wire.Command{stop}},
+		"launch has arrived":              {heartbeat: fromRecorded, tasks: endedRuns, want: []wire.Command{stop}},
 		"later incarnation":               {heartbeat: fromRestarted},
 		"higher fencing token":            {heartbeat: fromOther, token: token + 1, refused: true},
 		"fencing token of the leader":     {heartbeat: fromOther, token: token},
@@ -125,6 +132,54 @@
 	}
 }
 
+// A renewer that does not know when a job was cancelled launches none of its attempts, however young its process is.
+func TestRespondLaunchesNothingAfterCancellationAtUnknownTime(t *testing.T) {
+	stop := wire.StopCommand(wire.TaskName("run-1", 0), earlierAttempt, 0)
+	cases := map[string]struct {
+		attempt     wire.AttemptID
+		workerToken wire.FencingToken
+		refused     bool
+		want        []wire.Command
+	}{
+		"attempt of the term":            {attempt: lateAttempt, workerToken: token, refused: true},
+		"the worker knows the token":     {attempt: earlierAttempt, workerToken: token},
+		"the worker knows a later token": {attempt: earlierAttempt, workerToken: token - 1},
+		"the launch is not fenced off yet": {
+			attempt: earlierAttempt, workerToken: token - 2, want: []wire.Command{stop},
+		},
+	}
+	for name, c := range cases {
+		for _, age := range []time.Duration{0, 20 * time.Second, time.Minute} {
+			t.Run(fmt.Sprintf("%s/%s", name, age), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					renewer := newTestRenewer(t)
+					time.Sleep(age)
+					jobs := newEndedJobs()
+					renewer.setJobs(jobs)
+					progress := state.ProgressRecord{Active: []state.Placement{{Machine: "m1", Attempt: c.attempt, Incarnation: 5}}}
+					renewer.cfg.Store = &fakeStore{records: []wire.KeyValue{record(t, state.ProgressKey("run-1", 0), progress)}}
+					now := renewer.cfg.Clock.Now()
+					ended := record(t, state.OpenJobKey("run-1"), state.OpenJobRecord{FinalState: wire.JobCancelled})
+					renewer.applyOpenJobs(t.Context(), jobs,
+						openjobs.Update{RequestedAt: now, CompleteAt: 9, Records: []wire.KeyValue{ended}})
+					renewer.setValidUntil(now.Add(micros.Second))
+					response := renewer.respond(&wire.Heartbeat{Machine: "m1", Incarnation: 5, FencingToken: c.workerToken})
+					if c.refused {
+						if response != nil {
+							t.Errorf("the response is %+v, want nil", response)
+						}
+						return
+					}
+					want := &wire.HeartbeatResponse{FencingToken: token, Commands: append([]wire.Command{}, c.want...)}
+					if !reflect.DeepEqual(response, want) {
+						t.Errorf("the response is %+v, want %+v", response, want)
+					}
+				})
+			})
+		}
+	}
+}
+
 func TestRespondRefusesRenewalWhenTooLateToStopLaunch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		renewer := newTestRenewer(t)
@@ -215,7 +270,7 @@
 		respond := func() *wire.HeartbeatResponse { return renewer.respond(&wire.Heartbeat{Machine: "m1", Incarnation: 5}) }
 		stopEarlier := start()
 		stopEarlier()
-		progress := state.ProgressRecord{Active: []state.Placement{{Task: 0, Machine: "m1", Attempt: 3, Incarnation: 5}}}
+		progress := state.ProgressRecord{Active: []state.Placement{{Machine: "m1", Attempt: lateAttempt, Incarnation: 5}}}
 		store.records = []wire.KeyValue{
 			record(t, state.OpenJobKey("run-1"), state.OpenJobRecord{FinalState: wire.JobCancelled}),
 			record(t, state.ProgressKey("run-1", 0), progress),
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -26,15 +26,36 @@
 // Monitor holds the observations of one controller. It is safe for concurrent use.
 type Monitor struct {
 	clock                micros.Clock
+	createdAt            micros.Timestamp
 	removedJobRetention  micros.Duration
-	lastStoreResponse    atomic.Int64 // time of the store's latest response
-	leaderStoreReachable atomic.Int64 // arrival of the latest snapshot of a leader that could reach the store
+	lastStoreResponse    atomicTimestamp // time of the store's latest response
+	leaderStoreReachable atomicTimestamp // arrival of the latest snapshot of a leader that could reach the store
 	latest               atomic.Pointer[observedSnapshot]
 
 	mu sync.Mutex // guards removedJobs
 	// removedJobs holds the jobs that recent snapshots contained and the latest one does not. The value is the arrival of
 	// the latest snapshot of a leader that could reach the store when the job was last in a snapshot.
-	removedJobs map[wire.JobID]micros.Timestamp
+	removedJobs map[wire.JobID]removedJob
+}
+
+// removedJob is a job that snapshots no longer contain.
+type removedJob struct {
+	removedAt      micros.Timestamp         // arrival of the first snapshot without the job
+	publishedUntil micros.OptionalTimestamp // see Monitor.JobPublishedUntil
+}
+
+// atomicTimestamp is an instant that is unknown until it is set for the first time. It is safe for concurrent use.
+type atomicTimestamp struct {
+	at atomic.Pointer[micros.Timestamp]
+}
+
+func (t *atomicTimestamp) set(at micros.Timestamp) { t.at.Store(&at) }
+
+func (t *atomicTimestamp) get() micros.OptionalTimestamp {
+	if at := t.at.Load(); at != nil {
+		return micros.KnownTimestamp(*at)
+	}
+	return micros.OptionalTimestamp{}
 }
 
 // observedSnapshot is a snapshot with an index of the progress of its jobs. It is immutable.
@@ -50,13 +71,14 @@
 func NewMonitor(clock micros.Clock, removedJobRetention micros.Duration) *Monitor {
 	return &Monitor{
 		clock:               clock,
+		createdAt:           clock.Now(),
 		removedJobRetention: removedJobRetention,
-		removedJobs:         map[wire.JobID]micros.Timestamp{},
+		removedJobs:         map[wire.JobID]removedJob{},
 	}
 }
 
 // RecordStoreResponse records that the store has just responded to this controller successfully.
-func (m *Monitor) RecordStoreResponse() { m.lastStoreResponse.Store(int64(m.clock.Now())) }
+func (m *Monitor) RecordStoreResponse() { m.lastStoreResponse.set(m.clock.Now()) }
 
 // RecordSnapshot records the leader's latest snapshot.
 func (m *Monitor) RecordSnapshot(published *snapshot.Snapshot) {
@@ -68,21 +90,21 @@
 		m.recordRemovedJobs(previous, observed)
 	}
 	if published.StoreAvailable {
-		m.leaderStoreReachable.Store(int64(m.clock.Now()))
+		m.leaderStoreReachable.set(m.clock.Now())
 	}
 }
 
 // recordRemovedJobs records the jobs of the previous snapshot that the latest one does not contain, and forgets those
 // that were recorded too long ago.
 func (m *Monitor) recordRemovedJobs(previous, latest *observedSnapshot) {
-	publishedUntil := m.LeaderStoreReachableAt()
-	oldest := m.clock.Now().Add(-m.removedJobRetention)
+	removed := removedJob{removedAt: m.clock.Now(), publishedUntil: m.LeaderStoreReachableAt()}
+	oldest := removed.removedAt.Add(-m.removedJobRetention)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	maps.DeleteFunc(m.removedJobs, func(_ wire.JobID, at micros.Timestamp) bool { return at < oldest })
+	maps.DeleteFunc(m.removedJobs, func(_ wire.JobID, job removedJob) bool { return job.removedAt < oldest })
 	for job := range previous.progress {
 		if _, ok := latest.progress[job]; !ok {
-			m.removedJobs[job] = publishedUntil
+			m.removedJobs[job] = removed
 		}
 	}
 }
@@ -96,24 +118,24 @@
 	return observed.snapshot
 }
 
-// LeaderStoreReachableAt returns when the latest snapshot of a leader that could reach the store arrived, or 0 if none
-// has arrived.
-func (m *Monitor) LeaderStoreReachableAt() micros.Timestamp {
-	return micros.Timestamp(m.leaderStoreReachable.Load())
+// LeaderStoreReachableAt returns when the latest snapshot of a leader that could reach the store arrived, which is
+// unknown if none has arrived.
+func (m *Monitor) LeaderStoreReachableAt() micros.OptionalTimestamp {
+	return m.leaderStoreReachable.get()
 }
 
 // JobPublishedUntil returns the arrival of the latest snapshot of a leader that could reach the store when a job was
-// last in a snapshot. ok is false if no snapshot contained the job, or the last one that did arrived too long ago.
-func (m *Monitor) JobPublishedUntil(job wire.JobID) (at micros.Timestamp, ok bool) {
+// last in a snapshot. It is unknown if no snapshot contained the job, if the last one that did arrived too long ago, or
+// if no leader could reach the store.
+func (m *Monitor) JobPublishedUntil(job wire.JobID) micros.OptionalTimestamp {
 	if observed := m.latest.Load(); observed != nil {
 		if _, ok := observed.progress[job]; ok {
-			return m.LeaderStoreReachableAt(), true
+			return m.LeaderStoreReachableAt()
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	at, ok = m.removedJobs[job]
-	return at, ok
+	return m.removedJobs[job].publishedUntil
 }
 
 // Progress returns how many of a job's tasks are done and how many are running, according to the latest snapshot.
@@ -129,10 +151,14 @@
 // StoreReachable returns false only if the store has not responded to this controller for longer than maxStoreSilence
 // although the leader can reach the store. It returns true during shorter outages, and also if there is no evidence
 // that the leader can reach the store, as when no controller can. Until the store's first response, its silence is
-// measured from timestamp 0.
+// measured from the creation of the monitor.
 func (m *Monitor) StoreReachable() bool {
 	now := m.clock.Now()
-	unreachableHere := now.Sub(micros.Timestamp(m.lastStoreResponse.Load())) > maxStoreSilence
-	reachableByLeader := now.Sub(m.LeaderStoreReachableAt()) < leaderStatusTTL
-	return !unreachableHere || !reachableByLeader
+	silentSince := m.createdAt
+	if at, known := m.lastStoreResponse.get().Get(); known {
+		silentSince = at
+	}
+	reachableAt, reachableByLeader := m.LeaderStoreReachableAt().Get()
+	return now.Sub(silentSince) <= maxStoreSilence ||
+		!reachableByLeader || now.Sub(reachableAt) >= leaderStatusTTL
 }
--- a/internal/health/monitor_test.go
+++ b/internal/health/monitor_test.go
@@ -22,7 +22,7 @@
 	if done, running := monitor.Progress("a"); done != 3 || running != 2 || monitor.LatestSnapshot() != published {
 		t.Errorf("got %d done, %d running, want 3 and 2", done, running)
 	}
-	if monitor.LeaderStoreReachableAt() != 0 {
+	if _, known := monitor.LeaderStoreReachableAt().Get(); known {
 		t.Error("LeaderStoreReachableAt is set by the snapshot of a leader that could not reach the store")
 	}
 }
@@ -35,7 +35,7 @@
 		monitor := NewMonitor(clock, retention)
 		want := func(step string, job wire.JobID, want micros.Timestamp, wantOK bool) {
 			t.Helper()
-			if at, ok := monitor.JobPublishedUntil(job); at != want || ok != wantOK {
+			if at, ok := monitor.JobPublishedUntil(job).Get(); at != want || ok != wantOK {
 				t.Errorf("%s: %s is published until %d, %v; want %d, %v", step, job, at, ok, want, wantOK)
 			}
 		}
@@ -59,6 +59,19 @@
 	})
 }
 
+// A job that only a leader without the store published tells nothing about the time of its cancellation.
+func TestJobPublishedWithoutStoreIsUnknown(t *testing.T) {
+	monitor := NewMonitor(micros.NewClock(), retention)
+	monitor.RecordSnapshot(&snapshot.Snapshot{Jobs: []*snapshot.Job{{ID: "a"}}})
+	if at, known := monitor.JobPublishedUntil("a").Get(); known {
+		t.Errorf("the job is published until %d, want unknown", at)
+	}
+	monitor.RecordSnapshot(&snapshot.Snapshot{StoreAvailable: true})
+	if at, known := monitor.JobPublishedUntil("a").Get(); known {
+		t.Errorf("the removed job was published until %d, want unknown", at)
+	}
+}
+
 func TestStoreReachable(t *testing.T) {
 	cases := map[string]struct {
 		sinceStoreResponse, sinceSnapshot time.Duration
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -154,29 +154,34 @@
 // watch may lag, so abandonBatch reads the open-job records itself and applies them first; otherwise the manager would
 // build the same batch again. It returns false if the records can't be read.
 func (t *Term) abandonBatch(ctx context.Context, batch *manager.WriteBatch) bool {
-	var update openjobs.Update
+	var changed []wire.KeyValue
 	for _, condition := range batch.OpenJobRecordConditions {
 		item, err := t.cfg.Store.Get(ctx, condition.Key)
 		if err != nil {
 			return false
 		}
 		if item != nil && item.Version != condition.Version {
-			update.Records = append(update.Records, *item)
+			changed = append(changed, *item)
 		}
 	}
-	t.applyOpenJobs(ctx, update)
-	t.loop.Post(ctx, func(now micros.Timestamp) { t.manager.WriteConflicted(now, batch.ID) })
+	jobs := t.decodeOpenJobs(changed)
+	t.loop.Post(ctx, func(now micros.Timestamp) {
+		t.reportOpenJobs(now, jobs)
+		t.manager.WriteConflicted(now, batch.ID)
+	})
 	return true
 }
 
-// applyOpenJobs applies an update of the open-job records.
-func (t *Term) applyOpenJobs(ctx context.Context, update openjobs.Update) {
-	type openJob struct {
-		record  state.OpenJobRecord
-		version uint64
-	}
-	jobs := make([]openJob, 0, len(update.Records))
-	for _, item := range update.Records {
+// openJob is a decoded open-job record.
+type openJob struct {
+	record  state.OpenJobRecord
+	version uint64
+}
+
+// decodeOpenJobs decodes open-job records. Those that can't be decoded are logged and left out.
+func (t *Term) decodeOpenJobs(records []wire.KeyValue) []openJob {
+	jobs := make([]openJob, 0, len(records))
+	for _, item := range records {
 		job := openJob{version: item.Version}
 		if err := json.Unmarshal(item.Value, &job.record); err != nil {
 			t.cfg.Log.Error("cannot decode an open-job record", "key", item.Key, "error", err)
@@ -184,10 +189,21 @@
 		}
 		jobs = append(jobs, job)
 	}
+	return jobs
+}
+
+// reportOpenJobs reports changed open-job records to the manager. It runs on the term's event loop.
+func (t *Term) reportOpenJobs(now micros.Timestamp, jobs []openJob) {
+	for _, job := range jobs {
+		t.manager.OpenJobRecordChanged(now, t.resolved.At(), t.cfg.Clock.UnixMicro(), job.record, job.version)
+	}
+}
+
+// applyOpenJobs applies an update of the open-job records.
+func (t *Term) applyOpenJobs(ctx context.Context, update openjobs.Update) {
+	jobs := t.decodeOpenJobs(update.Records)
 	t.loop.Post(ctx, func(now micros.Timestamp) {
-		for _, job := range jobs {
-			t.manager.OpenJobRecordChanged(now, t.resolved.At(), t.cfg.Clock.UnixMicro(), job.record, job.version)
-		}
+		t.reportOpenJobs(now, jobs)
 		for _, job := range update.Removed {
 			t.manager.OpenJobRecordRemoved(job)
 		}
--- a/internal/manager/attempts.go
+++ b/internal/manager/attempts.go
@@ -12,10 +12,6 @@
 	"saffronbend/wire"
 )
 
-// attemptBits is the number of low bits of an attempt identifier that hold the attempt's number within its term. The
-// higher bits hold the term's fencing token, which makes identifiers unique across leaders.
-const attemptBits = 20
-
 // attemptIDs allocates the identifiers of the attempts of a term.
 type attemptIDs struct {
 	fencingToken wire.FencingToken
@@ -23,11 +19,11 @@
 }
 
 // exhausted reports whether no identifiers are left in this term.
-func (ids *attemptIDs) exhausted() bool { return ids.lastNumber+1 >= 1<<attemptBits }
+func (ids *attemptIDs) exhausted() bool { return ids.lastNumber+1 >= 1<<wire.AttemptNumberBits }
 
 // peek returns the next identifier without allocating it.
 func (ids *attemptIDs) peek() wire.AttemptID {
-	return wire.AttemptID(uint64(ids.fencingToken)<<attemptBits | ids.lastNumber + 1)
+	return wire.NewAttemptID(ids.fencingToken, ids.lastNumber+1)
 }
 
 // advance allocates the identifier that peek returned.
--- a/internal/manager/bench_test.go
+++ b/internal/manager/bench_test.go
@@ -88,7 +88,7 @@
 	for j := range jobs {
 		id := wire.JobID(fmt.Sprintf("run-%06d", j+1))
 		rec := record(id, len(heartbeats)*tasksPerMachine/jobs, nil)
-		m.OpenJobRecordChanged(now, now, 0, rec, uint64(j+1))
+		m.OpenJobRecordChanged(now, micros.KnownTimestamp(now), 0, rec, uint64(j+1))
 		for k := range len(heartbeats) / jobs {
 			machine := heartbeats[j*len(heartbeats)/jobs+k].Machine
 			request := lease.Request{Job: id, Machine: machine, Count: tasksPerMachine, Duration: workerLease}
@@ -221,7 +221,7 @@
 		m, now, next := newLargeFleet(b, machines)
 		for j := range maxReservingJobs {
 			rec := record(wire.JobID(fmt.Sprintf("run-%06d", 900+j)), 100, func(spec *wire.Job) { spec.CPUs = 32 })
-			m.OpenJobRecordChanged(*now, *now, 0, rec, uint64(5000+j))
+			m.OpenJobRecordChanged(*now, micros.KnownTimestamp(*now), 0, rec, uint64(5000+j))
 		}
 		*now = now.Add(micros.Minute)
 		for range m.machines.byID {
--- a/internal/manager/cancellation_test.go
+++ b/internal/manager/cancellation_test.go
@@ -15,11 +15,13 @@
 	for _, c := range []struct {
 		name     string
 		age      micros.Duration
-		commands int // 2: launch and stop
+		unknown  bool // the time of the cancellation is not known
+		commands int  // 2: launch and stop
 		dropped  bool
 	}{
-		{"soon after the cancellation", 2 * micros.Second, 2, false},
-		{"when the cancel timeout is nearly over", 26 * micros.Second, 0, true},
+		{"soon after the cancellation", 2 * micros.Second, false, 2, false},
+		{"when the cancel timeout is nearly over", 26 * micros.Second, false, 0, true},
+		{"after a cancellation at an unknown time", 2 * micros.Second, true, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, nil, nil)
@@ -27,7 +29,10 @@
 			pushes := h.m.CommandPushes(h.now, true)
 			h.want(len(pushes), 1)
 			h.m.CommandPushDone(h.now, pushes[0], PushOutcomeUnknown, nil)
-			confirmedAt := h.now
+			confirmedAt := micros.KnownTimestamp(h.now)
+			if c.unknown {
+				confirmedAt = micros.OptionalTimestamp{}
+			}
 			h.advance(c.age)
 			h.revision++
 			cancelled := record("run-1", 1, nil).Finalized(wire.JobCancelled)
--- a/internal/manager/commands.go
+++ b/internal/manager/commands.go
@@ -99,7 +99,11 @@
 // to the agent and starts nothing. This is safe because agents discard responses that are older than responseLifetime.
 // An agent that reports later than that without the attempt gets no response, see leaseMustExpire.
 func (m *Manager) mayStopLateLaunch(now micros.Timestamp, job *jobState) bool {
-	return !job.final() || now < job.finalSince.Add(LaunchAndStopWindow(m.cfg.CancelTimeout))
+	if !job.final() {
+		return true
+	}
+	until, known := job.finalSince.Add(LaunchAndStopWindow(m.cfg.CancelTimeout)).Get()
+	return known && now < until
 }
 
 // leaseMustExpire reports whether the lease of a machine's agent must not be renewed: a launch of an ended job may
--- a/internal/manager/disruptions_test.go
+++ b/internal/manager/disruptions_test.go
@@ -76,7 +76,7 @@
 // to be decided again: the disruption ends as soon as the task is reported as running. The disruption of a task that is
 // already writing its checkpoint stays open.
 func TestDisruptionsSurviveLeaderChange(t *testing.T) {
-	const earlierAttempt = 5<<attemptBits | 3
+	const earlierAttempt = 5<<wire.AttemptNumberBits | 3
 	open := []wire.KeyValue{storedItem("open/run-1", 4, record("run-1", 3, withCheckpoints))}
 	progress := []wire.KeyValue{storedItem("tasks/run-1/0", 6, state.ProgressRecord{Active: []state.Placement{
 		{Task: 0, Machine: "n-1-a", Attempt: earlierAttempt, Incarnation: 1},
--- a/internal/manager/evictions_test.go
+++ b/internal/manager/evictions_test.go
@@ -50,7 +50,7 @@
 	h.m.Evict(h.now, firstTask("run-1"))
 	batch, _ := h.nextWrite()
 	h.revision++
-	h.m.OpenJobRecordChanged(h.now, h.now, 0, cancelledRecord("run-1"), h.revision)
+	h.m.OpenJobRecordChanged(h.now, micros.KnownTimestamp(h.now), 0, cancelledRecord("run-1"), h.revision)
 	h.want(h.openDisruptions(), "")
 	h.commit(batch)
 	h.want(h.openDisruptions(), "")
--- a/internal/manager/harness_test.go
+++ b/internal/manager/harness_test.go
@@ -19,7 +19,7 @@
 	token       = 7 // fencing token of the term under test
 	workerLease = 10 * micros.Second
 	// firstAttempt is the identifier of the first attempt of the term.
-	firstAttempt = token<<attemptBits | 1
+	firstAttempt = token<<wire.AttemptNumberBits | 1
 	// recoveredAttempt is the identifier of the attempt in the record that storedProgress returns. An earlier leader
 	// granted it.
 	recoveredAttempt = 99
@@ -153,7 +153,7 @@
 // submit adds a job with the given number of tasks, as the watch would deliver it.
 func (h *harness) submit(id wire.JobID, tasks int, change func(*wire.Job)) {
 	h.revision++
-	h.m.OpenJobRecordChanged(h.now, h.now, 0, record(id, tasks, change), h.revision)
+	h.m.OpenJobRecordChanged(h.now, micros.KnownTimestamp(h.now), 0, record(id, tasks, change), h.revision)
 }
 
 // cancel cancels job run-1, which must have one task.
@@ -161,7 +161,7 @@
 	rec := record("run-1", 1, nil)
 	rec.FinalState = wire.JobCancelled
 	h.revision++
-	h.m.OpenJobRecordChanged(h.now, h.now, 0, rec, h.revision)
+	h.m.OpenJobRecordChanged(h.now, micros.KnownTimestamp(h.now), 0, rec, h.revision)
 }
 
 // Agents
--- a/internal/manager/jobs.go
+++ b/internal/manager/jobs.go
@@ -32,9 +32,10 @@
 	gang       *gang.Gang       // nil: its tasks are independent
 
 	// finalState is empty while the job is open. finalSince is the earliest time at which the job may have become final:
-	// for a cancellation, the earliest time at which it can have been confirmed to the user.
+	// for a cancellation, the earliest time at which it can have been confirmed to the user. It is unknown for a job that
+	// this leader has found in a final state; such a job has no attempts of this term.
 	finalState wire.JobState
-	finalSince micros.Timestamp
+	finalSince micros.OptionalTimestamp
 
 	taskPhases   []taskPhase
 	waiting      int // tasks in phase taskWaiting
@@ -181,7 +182,6 @@
 		version:           version,
 		acceptedAt:        now.Add(-age),
 		finalState:        record.FinalState,
-		finalSince:        now,
 		taskPhases:        make([]taskPhase, record.Job.Tasks),
 		waiting:           record.Job.Tasks,
 		active:            map[int]*taskAttempt{},
@@ -204,9 +204,10 @@
 // OpenJobRecordChanged applies a version of a job's open record that the watch has delivered: a new job or a
 // cancellation. A version that is not newer than the known one is ignored. unixMicros is this controller's wall-clock
 // time, in microseconds since the Unix epoch. notBefore is the earliest time at which the change can have been
-// confirmed to a user: changes that were confirmed before notBefore have been delivered already.
+// confirmed to a user: changes that were confirmed before notBefore have been delivered already. It is not after now.
 func (m *Manager) OpenJobRecordChanged(
-	now, notBefore micros.Timestamp, unixMicros int64, record state.OpenJobRecord, version uint64,
+	now micros.Timestamp, notBefore micros.OptionalTimestamp, unixMicros int64,
+	record state.OpenJobRecord, version uint64,
 ) {
 	id := record.Job.ID
 	if version <= m.jobs.removed[id] {
@@ -236,9 +237,11 @@
 // launched. Worker leases are not renewed while the leader's knowledge of cancellations is older than the cancel
 // timeout allows, so that running attempts terminate when their lease expires. mayStopLateLaunch handles a launch whose
 // push has an unknown outcome.
-func (m *Manager) cancelJob(now, notBefore micros.Timestamp, job *jobState, finalState wire.JobState) {
+func (m *Manager) cancelJob(
+	now micros.Timestamp, notBefore micros.OptionalTimestamp, job *jobState, finalState wire.JobState,
+) {
 	job.finalState = finalState
-	job.finalSince = min(now, notBefore)
+	job.finalSince = notBefore
 	job.completionInFlight = false
 	m.writes.cancelCompletion(job)
 	m.ledger.EndJob(job.id())
--- a/internal/manager/launch_test.go
+++ b/internal/manager/launch_test.go
@@ -27,7 +27,7 @@
 	h.grant("run-1", "n-1-a", 1)
 	batch := h.m.NextWrite(h.now)
 	rec := batch.Changes[0].Value.(state.ProgressRecord)
-	h.want(rec.Active[0].Attempt>>attemptBits, wire.AttemptID(token))
+	h.want(rec.Active[0].Attempt>>wire.AttemptNumberBits, wire.AttemptID(token))
 }
 
 // Checks the launch state after each outcome of a push.
--- a/internal/manager/moves_test.go
+++ b/internal/manager/moves_test.go
@@ -67,7 +67,7 @@
 	h.m.SetCordons(h.now, map[wire.MachineID]bool{"n-2-a": true}, nil)
 	h.want(h.m.Move(h.now, firstTask("run-1"), "n-2-a"), rebalance.NoCapacity)
 	h.m.SetCordons(h.now, nil, nil)
-	h.m.OpenJobRecordChanged(h.now, h.now, 0, cancelledRecord("run-1"), h.revision+1)
+	h.m.OpenJobRecordChanged(h.now, micros.KnownTimestamp(h.now), 0, cancelledRecord("run-1"), h.revision+1)
 	h.want(h.m.Move(h.now, firstTask("run-1"), "n-2-a"), rebalance.AlreadyStopping)
 }
 
@@ -83,7 +83,7 @@
 // The record of a move names the destination. The next leader reserves capacity there again once the destination has
 // reported, and drops the reservation if the destination does not report in time.
 func TestMoveSurvivesLeaderChange(t *testing.T) {
-	const earlierAttempt = 5<<attemptBits | 3
+	const earlierAttempt = 5<<wire.AttemptNumberBits | 3
 	earlier := newDrainHarness(t, nil, nil, nil)
 	earlier.runTask()
 	earlier.want(earlier.m.Move(earlier.now, firstTask("run-1"), "n-2-a"), rebalance.Moved)
--- a/internal/manager/write_outcomes.go
+++ b/internal/manager/write_outcomes.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		job.completionInFlight = false
-		job.finalState, job.finalSince = wire.JobDone, now
+		job.finalState, job.finalSince = wire.JobDone, micros.KnownTimestamp(now)
 		job.version = revision
 		m.publisher.markJob(job)
 		if !slices.Contains(write.deletedJobs, id) {
--- a/internal/manager/writes_test.go
+++ b/internal/manager/writes_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"saffronbend/internal/micros"
 	"saffronbend/internal/state"
 	"saffronbend/wire"
 )
@@ -40,7 +41,7 @@
 	// The job was cancelled through another controller: the write fails and is not repeated.
 	rec := record("run-1", 1, nil).Finalized(wire.JobCancelled)
 	h.revision++
-	h.m.OpenJobRecordChanged(h.now, h.now, 0, rec, h.revision)
+	h.m.OpenJobRecordChanged(h.now, micros.KnownTimestamp(h.now), 0, rec, h.revision)
 	h.m.WriteConflicted(h.now, batch.ID)
 	batch = h.m.NextWrite(h.now)
 	h.want(batch != nil && len(batch.OpenJobRecordConditions) > 0, false)
--- a/internal/openjobs/openjobs.go
+++ b/internal/openjobs/openjobs.go
@@ -20,17 +20,20 @@
 // were requested. Other successful requests, such as the renewal of a lease, must not advance it, because they say
 // nothing about whether the watch is blocked, lags or is being re-established. The zero ResolvedTimestamp means that no
 // cancellations are known.
-type ResolvedTimestamp struct{ at micros.Timestamp }
+type ResolvedTimestamp struct{ at micros.OptionalTimestamp }
 
 // Advance moves the timestamp forward to when a list or watch was requested. It never moves the timestamp back.
-func (r *ResolvedTimestamp) Advance(requestedAt micros.Timestamp) { r.at = max(r.at, requestedAt) }
+func (r *ResolvedTimestamp) Advance(requestedAt micros.Timestamp) {
+	r.at = r.at.Later(micros.KnownTimestamp(requestedAt))
+}
 
-// At returns the timestamp. It returns 0 if the timestamp never advanced.
-func (r *ResolvedTimestamp) At() micros.Timestamp { return r.at }
+// At returns the timestamp, which is unknown if it never advanced.
+func (r *ResolvedTimestamp) At() micros.OptionalTimestamp { return r.at }
 
 // Fresh reports whether the timestamp has ever advanced and is less than maxAge before now.
 func (r *ResolvedTimestamp) Fresh(now micros.Timestamp, maxAge micros.Duration) bool {
-	return r.at != 0 && now.Sub(r.at) < maxAge
+	at, known := r.at.Get()
+	return known && now.Sub(at) < maxAge
 }
 
 // Update contains changes of the open-job records, or all of them. It includes every change that was committed before
--- a/internal/openjobs/openjobs_test.go
+++ b/internal/openjobs/openjobs_test.go
@@ -18,12 +18,15 @@
 	if resolved.Fresh(1, micros.Forever) {
 		t.Error("a timestamp that never advanced counts as fresh")
 	}
+	if at, known := resolved.At().Get(); known {
+		t.Errorf("a timestamp that never advanced is %d, want unknown", at)
+	}
 	resolved.Advance(100)
 	resolved.Advance(50) // an earlier request whose response arrives late
 	cases := map[micros.Timestamp]bool{100: true, 109: true, 110: false, 200: false}
 	for now, want := range cases {
-		if got := resolved.Fresh(now, 10); got != want || resolved.At() != 100 {
-			t.Errorf("Fresh(%d, 10) = %v, want %v; At() = %d, want 100", now, got, want, resolved.At())
+		if got := resolved.Fresh(now, 10); got != want || resolved.At() != micros.KnownTimestamp(100) {
+			t.Errorf("Fresh(%d, 10) = %v, want %v; At() = %+v, want 100", now, got, want, resolved.At())
 		}
 	}
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -159,7 +159,7 @@
 	rec := state.OpenJobRecord{ShardSize: 90, AcceptedAt: int64(c.now), Job: job}
 	c.putRecord(state.JobStatusKey(id), state.JobStatusRecord{State: wire.JobPending})
 	c.putRecord(state.OpenJobKey(id), rec)
-	c.manager.OpenJobRecordChanged(c.now, c.now, int64(c.now), rec, c.revision)
+	c.manager.OpenJobRecordChanged(c.now, micros.KnownTimestamp(c.now), int64(c.now), rec, c.revision)
 }
 
 func (c *cluster) putRecord(key string, value any) {
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -214,7 +214,7 @@
 	record := state.OpenJobRecord{Job: gang, AcceptedAt: acceptedAt, ShardSize: state.ProgressShardSize(gang.Kind, 2)}
 	put("open", state.OpenJobKey(gang.ID), record)
 	put("open", state.OpenJobKey(gang.ID), record.Finalized(wire.JobCancelled))
-	m.OpenJobRecordChanged(now, now, acceptedAt, record, 60)
+	m.OpenJobRecordChanged(now, micros.KnownTimestamp(now), acceptedAt, record, 60)
 	seq := wire.HeartbeatSeq(0)
 	sendHeartbeat := func(id wire.MachineID, tasks ...wire.TaskStatus) {
 		seq++
--- a/wire/identifiers.go
+++ b/wire/identifiers.go
@@ -14,6 +14,19 @@
 // leaders and increase in the order of the grants. 0 means none.
 type AttemptID uint64
 
+// AttemptNumberBits is the number of low bits of an AttemptID that hold the attempt's number within its term.
+const AttemptNumberBits = 20
+
+// NewAttemptID returns the identifier of the attempt with a number, which must be below 1 << AttemptNumberBits, in the
+// term with a fencing token.
+func NewAttemptID(token FencingToken, number uint64) AttemptID {
+	return AttemptID(uint64(token)<<AttemptNumberBits | number)
+}
+
+// FencingToken returns the fencing token of the term in which the attempt was granted. Only that term's leader launches
+// the attempt, so a worker that has seen a higher token executes no launch of it any more.
+func (id AttemptID) FencingToken() FencingToken { return FencingToken(id >> AttemptNumberBits) }
+
 // AgentIncarnation numbers the incarnations of a worker's agent. An agent begins a new incarnation, without tasks, when
 // the worker's lease has expired. The agent issues the number, which starts at 1 and increases: of two incarnations on
 // the same machine, the higher one is newer. 0 means that none is known.
