--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -84,7 +84,7 @@
 	if err := json.Unmarshal(entry.Value, &openJob); err != nil {
 		return fmt.Errorf("decode open job record of %s: %w", job, err)
 	}
-	records, err := encodeRecords(openJob.Finalized(wire.JobCancelled), wire.JobCancelled)
+	records, err := encodeRecords(openJob.Cancelled(a.unixMicro()), wire.JobCancelled)
 	if err != nil {
 		return fmt.Errorf("encode records of %s: %w", job, err)
 	}
--- a/internal/follower/ended_jobs.go
+++ b/internal/follower/ended_jobs.go
@@ -17,13 +17,13 @@
 	mu       sync.Mutex                 // guards the following fields
 	ended    map[wire.JobID]bool        // jobs in a final state
 	resolved openjobs.ResolvedTimestamp // the time up to which the ended jobs are known
-	// lateLaunches contains the recorded attempts of ended jobs whose launch may still arrive, by machine.
+	// lateLaunches contains the recorded attempts of cancelled jobs whose launch may still arrive, by machine.
 	lateLaunches map[wire.MachineID][]lateLaunch
 }
 
-// lateLaunch is an attempt of an ended job whose launch may still arrive at the worker, as long as the worker is in the
-// incarnation that the attempt was granted for and has seen no higher fencing token than the attempt's. Renewing the
-// worker's lease prolongs that incarnation.
+// lateLaunch is an attempt of a cancelled job whose launch may still arrive at the worker, as long as the worker is in
+// the incarnation that the attempt was granted for and has seen no higher fencing token than the attempt's. Renewing
+// the worker's lease prolongs that incarnation.
 type lateLaunch struct {
 	job         wire.JobID
 	task        string
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,14 +53,12 @@
 	Settings *settings.Settings
 	// Incarnation distinguishes this process from other processes of the same controller.
 	Incarnation uint64
-	// LeaderLeaseTTL is the time to live of the leader's lease in the key-value store.
-	LeaderLeaseTTL micros.Duration
-	Log            *slog.Logger
-	Clock          micros.Clock
-	Dial           call.Dialer
-	Store          Store
-	Health         *health.Monitor
-	Placer         Placer
+	Log         *slog.Logger
+	Clock       micros.Clock
+	Dial        call.Dialer
+	Store       Store
+	Health      *health.Monitor
+	Placer      Placer
 }
 
 // Follower follows one leader in one term.
--- a/internal/follower/lease_renewer.go
+++ b/internal/follower/lease_renewer.go
@@ -155,47 +155,73 @@
 // applyOpenJobs applies an update of the open-job records to what their watch has found. It does not apply the update's
 // ended jobs, nor advance the resolved timestamp, until the attempts of these jobs have been read.
 func (r *leaseRenewer) applyOpenJobs(ctx context.Context, jobs *endedJobs, update openjobs.Update) {
-	bounds := newCancellationBounds(r.cfg.Health, r.cfg.LeaderLeaseTTL, jobs.resolvedAt())
+	published := indexLeases(r.cfg.Health.LatestSnapshot())
 	found := newEndedJobs()
 	for _, item := range update.Records {
 		job := openjobs.JobIDFromKey(item.Key)
-		if !r.hasEnded(item) || jobs.contains(job) {
+		record := r.decodeFinalState(item)
+		if record.FinalState == "" || jobs.contains(job) {
 			continue
 		}
 		found.ended[job] = true
-		if !r.readAttempts(ctx, job, bounds, found) {
+		if record.FinalState != wire.JobCancelled {
+			continue // a late launch starts a task that is done, which is harmless
+		}
+		// Cancellations before the resolved timestamp have been found by an earlier update.
+		cancelledAt := r.recordedCancellation(record).Later(jobs.resolvedAt())
+		if !r.readAttempts(ctx, job, found, lateLaunchLimits{cancelledAt: cancelledAt, published: &published}) {
 			return
 		}
 	}
 	jobs.apply(found, update)
 	if len(found.lateLaunches) > 0 {
-		r.cfg.Log.Info("launches of ended jobs may still arrive",
+		r.cfg.Log.Info("launches of cancelled jobs may still arrive",
 			"jobs", len(found.ended), "machines", len(found.lateLaunches))
 	}
 }
 
-// hasEnded reports whether an open-job record is of a job in a final state. It decodes no other field of the record. A
-// record that cannot be decoded is logged and counts as not ended.
-func (r *leaseRenewer) hasEnded(item wire.KeyValue) bool {
-	var record struct {
-		FinalState string `json:"over"`
-	}
+// decodeFinalState decodes what an open-job record says about the end of the job, and nothing else. A record that
+// cannot be decoded is logged; fields that cannot be decoded are empty.
+func (r *leaseRenewer) decodeFinalState(item wire.KeyValue) state.JobFinalState {
+	var record state.JobFinalState
 	if err := json.Unmarshal(item.Value, &record); err != nil {
 		r.cfg.Log.Error("cannot decode an open-job record", "key", item.Key, "error", err)
 	}
-	return record.FinalState != ""
+	return record
+}
+
+// recordedCancellation returns the earliest time at which the cancellation of a job can have been confirmed, according
+// to the job's record. It is unknown if an earlier version wrote the record, if the settings don't bound the skew of
+// the clocks, or if the recorded time is in the future, which it can't be within that bound.
+func (r *leaseRenewer) recordedCancellation(record state.JobFinalState) micros.OptionalTimestamp {
+	skew, bounded := r.cfg.Settings.MaxClockSkew()
+	if record.CancelledAt == nil || !bounded {
+		return micros.OptionalTimestamp{}
+	}
+	earliest := r.cfg.Clock.FromUnixMicro(*record.CancelledAt).Add(-skew)
+	if earliest > r.cfg.Clock.Now() {
+		return micros.OptionalTimestamp{}
+	}
+	return micros.KnownTimestamp(earliest)
+}
+
+// lateLaunchLimits is what is known of when the launches of a cancelled job's attempts may arrive and be stopped.
+type lateLaunchLimits struct {
+	cancelledAt micros.OptionalTimestamp // the job was cancelled then or later
+	published   *publishedLeases
 }
 
-// readAttempts adds the recorded attempts of an ended job whose launch may still arrive to found. It retries until the
-// read succeeds, and returns false if ctx ended first. Once a job has ended, no further attempts of it are recorded.
+// readAttempts adds the recorded attempts of a cancelled job whose launch may still arrive to found. It retries until
+// the read succeeds, and returns false if ctx ended first. Once a job has ended, no further attempts of it are
+// recorded.
 func (r *leaseRenewer) readAttempts(
-	ctx context.Context, job wire.JobID, bounds *cancellationBounds, found *endedJobs,
+	ctx context.Context, job wire.JobID, found *endedJobs, limits lateLaunchLimits,
 ) bool {
 	for {
 		items, _, err := r.cfg.Store.List(ctx, state.ProgressPrefix+string(job)+"/")
 		if err == nil {
 			for _, item := range items {
-				r.addAttempts(job, item, bounds, found)
+				r.addAttempts(job, item, found, limits)
 			}
 			return true
 		}
@@ -205,10 +231,10 @@
 	}
 }
 
-// addAttempts adds the attempts in a progress record of an ended job whose launch may still arrive to found. If the
+// addAttempts adds the attempts in a progress record of a cancelled job whose launch may still arrive to found. If the
 // record cannot be decoded, this is logged, and only the attempts that were decoded are added, if any.
 func (r *leaseRenewer) addAttempts(
-	job wire.JobID, item wire.KeyValue, bounds *cancellationBounds, found *endedJobs,
+	job wire.JobID, item wire.KeyValue, found *endedJobs, limits lateLaunchLimits,
 ) {
 	var progress state.ProgressRecord
 	if err := json.Unmarshal(item.Value, &progress); err != nil {
@@ -216,8 +242,7 @@
 	}
 	window := manager.LaunchAndStopWindow(micros.Seconds(r.cfg.Settings.Deployment.Workers.CancelS))
 	for _, placement := range progress.Active {
-		cancelledAt, mayArrive := bounds.earliestCancellation(job, placement)
-		if !mayArrive {
+		if limits.published.released(job, placement) {
 			continue
 		}
 		found.lateLaunches[placement.Machine] = append(found.lateLaunches[placement.Machine], lateLaunch{
@@ -225,7 +250,7 @@
 			task:        wire.TaskName(job, placement.Task),
 			attempt:     placement.Attempt,
 			incarnation: placement.Incarnation,
-			until:       cancelledAt.Add(window),
+			until:       limits.cancelledAt.Add(window),
 		})
 	}
 }
@@ -241,11 +266,12 @@
 	}
 	decided := jobs.decide(now, r.token, heartbeat)
 	if late := decided.tooLate; late != nil {
-		r.cfg.Log.Info("worker lease not renewed: a launch of an ended job may arrive", late.logAttributes(now, heartbeat)...)
+		r.cfg.Log.Info("worker lease not renewed, a launch of a cancelled job may arrive",
+			late.logAttributes(now, heartbeat)...)
 		return nil
 	}
 	for _, late := range decided.launched {
-		r.cfg.Log.Info("launching and stopping an attempt of an ended job", late.logAttributes(now, heartbeat)...)
+		r.cfg.Log.Info("launching and stopping an attempt of a cancelled job", late.logAttributes(now, heartbeat)...)
 	}
 	return &wire.HeartbeatResponse{FencingToken: r.token, Commands: decided.commands}
 }
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -1,13 +1,10 @@
 // Package health tracks what a controller last observed of the cluster: when the key-value store last responded to it,
-// the latest snapshot and when the latest one of a leader that could reach the store arrived, and until when the leader
-// published jobs that it no longer publishes. The goroutines that talk to the store and to the leader record their
-// observations here; the health check, the job status API and the lease renewer read them. The package makes no
-// scheduling decisions.
+// the latest snapshot, and when the latest one of a leader that could reach the store arrived. The goroutines that talk
+// to the store and to the leader record their observations here; the health check, the job status API and the lease
+// renewer read them. The package makes no scheduling decisions.
 package health
 
 import (
-	"maps"
-	"sync"
 	"sync/atomic"
 
 	"saffronbend/internal/micros"
@@ -27,21 +24,9 @@
 type Monitor struct {
 	clock                micros.Clock
 	createdAt            micros.Timestamp
-	removedJobRetention  micros.Duration
 	lastStoreResponse    atomicTimestamp // time of the store's latest response
 	leaderStoreReachable atomicTimestamp // arrival of the latest snapshot of a leader that could reach the store
 	latest               atomic.Pointer[observedSnapshot]
-
-	mu sync.Mutex // guards removedJobs
-	// removedJobs holds the jobs that recent snapshots contained and the latest one does not. The value is the arrival of
-	// the latest snapshot of a leader that could reach the store when the job was last in a snapshot.
-	removedJobs map[wire.JobID]removedJob
-}
-
-// removedJob is a job that snapshots no longer contain.
-type removedJob struct {
-	removedAt      micros.Timestamp         // arrival of the first snapshot without the job
-	publishedUntil micros.OptionalTimestamp // see Monitor.JobPublishedUntil
 }
 
 // atomicTimestamp is an instant that is unknown until it is set for the first time. It is safe for concurrent use.
@@ -66,16 +51,8 @@
 
 type taskCounts struct{ done, running int }
 
-// NewMonitor returns a monitor without observations. removedJobRetention, in microseconds, is how long it remembers
-// until when a job was published that is no longer in the latest snapshot.
-func NewMonitor(clock micros.Clock, removedJobRetention micros.Duration) *Monitor {
-	return &Monitor{
-		clock:               clock,
-		createdAt:           clock.Now(),
-		removedJobRetention: removedJobRetention,
-		removedJobs:         map[wire.JobID]removedJob{},
-	}
-}
+// NewMonitor returns a monitor without observations.
+func NewMonitor(clock micros.Clock) *Monitor { return &Monitor{clock: clock, createdAt: clock.Now()} }
 
 // RecordStoreResponse records that the store has just responded to this controller successfully.
 func (m *Monitor) RecordStoreResponse() { m.lastStoreResponse.set(m.clock.Now()) }
@@ -86,29 +63,12 @@
 	for _, job := range published.Jobs {
 		observed.progress[job.ID] = taskCounts{job.Done, job.Running}
 	}
-	if previous := m.latest.Swap(observed); previous != nil {
-		m.recordRemovedJobs(previous, observed)
-	}
+	m.latest.Store(observed)
 	if published.StoreAvailable {
 		m.leaderStoreReachable.set(m.clock.Now())
 	}
 }
 
-// recordRemovedJobs records the jobs of the previous snapshot that the latest one does not contain, and forgets those
-// that were recorded too long ago.
-func (m *Monitor) recordRemovedJobs(previous, latest *observedSnapshot) {
-	removed := removedJob{removedAt: m.clock.Now(), publishedUntil: m.LeaderStoreReachableAt()}
-	oldest := removed.removedAt.Add(-m.removedJobRetention)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	maps.DeleteFunc(m.removedJobs, func(_ wire.JobID, job removedJob) bool { return job.removedAt < oldest })
-	for job := range previous.progress {
-		if _, ok := latest.progress[job]; !ok {
-			m.removedJobs[job] = removed
-		}
-	}
-}
-
 // LatestSnapshot returns the latest snapshot, or nil if none has arrived.
 func (m *Monitor) LatestSnapshot() *snapshot.Snapshot {
 	observed := m.latest.Load()
@@ -124,20 +84,6 @@
 	return m.leaderStoreReachable.get()
 }
 
-// JobPublishedUntil returns the arrival of the latest snapshot of a leader that could reach the store when a job was
-// last in a snapshot. It is unknown if no snapshot contained the job, if the last one that did arrived too long ago, or
-// if no leader could reach the store.
-func (m *Monitor) JobPublishedUntil(job wire.JobID) micros.OptionalTimestamp {
-	if observed := m.latest.Load(); observed != nil {
-		if _, ok := observed.progress[job]; ok {
-			return m.LeaderStoreReachableAt()
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.removedJobs[job].publishedUntil
-}
-
 // Progress returns how many of a job's tasks are done and how many are running, according to the latest snapshot.
 func (m *Monitor) Progress(job wire.JobID) (done, running int) {
 	observed := m.latest.Load()
--- a/internal/manager/attempts.go
+++ b/internal/manager/attempts.go
@@ -29,6 +29,14 @@
 // advance allocates the identifier that peek returned.
 func (ids *attemptIDs) advance() { ids.lastNumber++ }
 
+// newest returns the identifier that was allocated last, 0 if none was.
+func (ids *attemptIDs) newest() wire.AttemptID {
+	if ids.lastNumber == 0 {
+		return 0
+	}
+	return wire.NewAttemptID(ids.fencingToken, ids.lastNumber)
+}
+
 // AttemptIDsExhausted reports whether no attempt identifiers are left in this term. The leader must then step down.
 func (m *Manager) AttemptIDsExhausted() bool { return m.attemptIDs.exhausted() }
 
--- a/internal/manager/publisher.go
+++ b/internal/manager/publisher.go
@@ -25,6 +25,7 @@
 	stale         bool                // something has changed since the last snapshot
 	machines      []*snapshot.Machine // published machines, sorted by identifier
 	jobs          []*snapshot.Job     // published jobs, in order of arrival
+	newestAttempt wire.AttemptID      // the attempt that had been granted last when they were published; 0: none
 	dirtyMachines map[wire.MachineID]bool
 	dirtyJobs     map[wire.JobID]bool
 	removals      []removal
@@ -118,6 +119,7 @@
 	publisher.stale = false
 	m.publishMachines(now)
 	m.publishJobs()
+	publisher.newestAttempt = m.attemptIDs.newest()
 	published := &snapshot.Snapshot{
 		FencingToken:        m.cfg.FencingToken,
 		Version:             publisher.version,
@@ -130,6 +132,7 @@
 		CompletedRuns:       publisher.publishCompletedRuns(),
 		PendingReplacements: m.pendingReplacements(),
 		VacatedPools:        m.vacatedPools,
+		NewestAttempt:       publisher.newestAttempt,
 	}
 	publisher.trimHistory()
 	return published
@@ -150,6 +153,7 @@
 		StoreAvailable:  m.storeAvailable,
 		TeamAssignments: m.teamAssignments,
 		QuotaHeadroom:   m.quota.headrooms(),
+		NewestAttempt:   publisher.newestAttempt,
 	}
 	for _, machine := range publisher.machines {
 		if machine.ChangedInVersion > since {
--- a/internal/manager/publisher_test.go
+++ b/internal/manager/publisher_test.go
@@ -29,9 +29,12 @@
 	h.submit("run-1", 3, nil)
 	catchUp()
 	h.grant("run-1", "n-1-a", 2)
+	// No snapshot contains the leases of the attempts yet.
+	h.want(h.m.SnapshotUpdate(h.now, since).NewestAttempt, wire.AttemptID(0))
 	h.m.Snapshot(h.now) // the follower misses this snapshot
 	h.start("n-3-a")
 	got := catchUp()
+	h.want(got.NewestAttempt, wire.AttemptID(firstAttempt+1))
 	h.want(len(got.Machines[0].Leases[0].Leases), 2)
 	h.m.MachinesDeleted(h.now, []wire.MachineID{"n-2-a"})
 	h.submit("run-2", 1, nil)
--- a/internal/micros/micros.go
+++ b/internal/micros/micros.go
@@ -69,5 +69,11 @@
 // Now returns the current time on the monotonic clock.
 func (c Clock) Now() Timestamp { return Timestamp(time.Since(c.start).Microseconds()) }
 
+// FromUnixMicro returns the timestamp of a wall-clock time, in microseconds since the Unix epoch. Adjustments of the
+// wall clock between that time and now shift the result.
+func (c Clock) FromUnixMicro(unixMicros int64) Timestamp {
+	return c.Now().Add(Duration(unixMicros - c.UnixMicro()))
+}
+
 // UnixMicro returns the wall-clock time, in microseconds since the Unix epoch.
 func (c Clock) UnixMicro() int64 { return time.Now().UnixMicro() }
--- a/internal/micros/micros_test.go
+++ b/internal/micros/micros_test.go
@@ -77,6 +77,9 @@
 		}
 		unixMicros := clock.UnixMicro()
 		time.Sleep(3 * time.Second)
+		if got := clock.FromUnixMicro(unixMicros); got != first {
+			t.Errorf("the start by the wall clock is %d, want %d", got, first)
+		}
 		if got := clock.Now().Sub(first); got != 3*Second {
 			t.Errorf("monotonic clock advanced by %d µs in 3 s", got)
 		}
--- a/internal/settings/timeouts.go
+++ b/internal/settings/timeouts.go
@@ -32,6 +32,14 @@
 	return cancel - cancel/clockDriftDivisor - s.WorkerLease() - timerResolution
 }
 
+// MaxClockSkew returns by how much the wall clocks of two controllers may differ. bounded is false if the settings
+// don't say by how much a wall clock may be off the true time.
+func (s *Settings) MaxClockSkew() (skew micros.Duration, bounded bool) {
+	const millisPerSecond = 1000
+	offset := micros.Seconds(s.Deployment.SkewMillis / millisPerSecond)
+	return 2 * offset, offset > 0
+}
+
 // GangWaitTimeout returns how long a task waits for the other tasks of its gang.
 func (s *Settings) GangWaitTimeout() micros.Duration {
 	return s.gangTimeout(s.Deployment.Workers.GangWaitS, gangWaitLeases)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -27,6 +27,9 @@
 	QuotaHeadroom map[wire.TeamName]QuotaHeadroom
 	Machines      []*Machine // sorted by ID
 	Jobs          []*Job     // sorted by arrival
+	// NewestAttempt is the attempt that the leader granted last in its term; 0: it has granted none, or it is of an
+	// earlier version.
+	NewestAttempt wire.AttemptID
 	// CompletedRuns lists the runs that were not in the previous snapshot.
 	CompletedRuns []CompletedRun
 	// PendingReplacements lists the jobs with tasks that can't be evicted until there are free resources for them
--- a/internal/snapshot/update.go
+++ b/internal/snapshot/update.go
@@ -19,6 +19,7 @@
 	Jobs            []*Job                          `json:"jobs,omitempty"`
 	Removed         []string                        `json:"gone,omitempty"` // IDs of machines and jobs
 	CompletedRuns   []CompletedRun                  `json:"finished,omitempty"`
+	NewestAttempt   wire.AttemptID                  `json:"newest,omitempty"`
 }
 
 // Replica is a follower's copy of the leader's latest snapshot. The zero value is an empty replica without a snapshot.
@@ -35,6 +36,7 @@
 		TeamAssignments: update.TeamAssignments,
 		QuotaHeadroom:   update.QuotaHeadroom,
 		CompletedRuns:   update.CompletedRuns,
+		NewestAttempt:   update.NewestAttempt,
 	}
 	if update.BaseVersion != 0 {
 		base := r.snapshot
--- a/internal/snapshot/update_test.go
+++ b/internal/snapshot/update_test.go
@@ -64,6 +64,15 @@
 	}
 }
 
+func TestReplicaTakesNewestAttemptFromUpdate(t *testing.T) {
+	var replica Replica
+	replica.Apply(&Update{FencingToken: 7, Version: 3, NewestAttempt: 5})
+	got := replica.Apply(&Update{FencingToken: 7, BaseVersion: 3, Version: 4, NewestAttempt: 8})
+	if got.NewestAttempt != 8 {
+		t.Errorf("the newest attempt is %d, want 8", got.NewestAttempt)
+	}
+}
+
 func TestReplicaRequiresFullSnapshotFirst(t *testing.T) {
 	var replica Replica
 	if got := replica.Apply(&Update{FencingToken: 7, BaseVersion: 1, Version: 2}); got != nil {
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -29,10 +29,19 @@
 
 // OpenJobRecord describes a job that is not in a final state yet or whose tasks may still exist.
 type OpenJobRecord struct {
-	Job        wire.Job      `json:"job"`
-	AcceptedAt int64         `json:"accepted"`       // Unix time in microseconds
-	ShardSize  int           `json:"chunk"`          // number of tasks per progress record
+	Job        wire.Job `json:"job"`
+	AcceptedAt int64    `json:"accepted"` // Unix time in microseconds
+	ShardSize  int      `json:"chunk"`    // number of tasks per progress record
+	JobFinalState
+}
+
+// JobFinalState is the part of an OpenJobRecord that says whether and when the job has ended.
+type JobFinalState struct {
 	FinalState wire.JobState `json:"over,omitempty"` // empty until the job is in a final state
+	// CancelledAt is the Unix time in microseconds at which the controller that wrote the job's cancellation began to
+	// write it, by that controller's clock. The user is told later than that. nil: the job is not cancelled, or an earlier
+	// version of this program has written the cancellation.
+	CancelledAt *int64 `json:"over_at,omitempty"`
 }
 
 // Finalized returns the record of the job in a final state. It keeps only the fields that are needed until the job's
@@ -48,6 +57,13 @@
 	return r
 }
 
+// Cancelled returns the record of the job cancelled at a Unix time in microseconds, see Finalized.
+func (r OpenJobRecord) Cancelled(unixMicros int64) OpenJobRecord {
+	r = r.Finalized(wire.JobCancelled)
+	r.CancelledAt = &unixMicros
+	return r
+}
+
 // DisruptionRecord holds the disrupted tasks of a shard: those whose running attempt was stopped or lost and whose next
 // attempt is not running yet.
 type DisruptionRecord struct {
--- a/node.go
+++ b/node.go
@@ -63,7 +63,7 @@
 			storeLimits.WriteRPS*urgentWriteShare),
 		cloud:  cloud.New(network.Dial, cfg.Services.Cloud, cfg.PerController(deployment.Cloud.RPS)),
 		types:  &machinetypes.Catalog{},
-		health: health.NewMonitor(clock, micros.Seconds(deployment.Workers.CancelS)),
+		health: health.NewMonitor(clock),
 	}
 	node.placer = placement.New(placement.Config{
 		Controller: cfg.Member,
@@ -103,15 +103,14 @@
 			Placer:   n.placer,
 		},
 		Follower: follower.Config{
-			Settings:       n.settings,
-			Incarnation:    n.incarnation,
-			LeaderLeaseTTL: leaderLeaseTTL,
-			Log:            n.log,
-			Clock:          n.clock,
-			Dial:           n.network.Dial,
-			Store:          n.store,
-			Health:         n.health,
-			Placer:         n.placer,
+			Settings:    n.settings,
+			Incarnation: n.incarnation,
+			Log:         n.log,
+			Clock:       n.clock,
+			Dial:        n.network.Dial,
+			Store:       n.store,
+			Health:      n.health,
+			Placer:      n.placer,
 		},
 	})
 }
