Logs say who leads with which rights, what was read when, and why a launch or a renewal was allowed

Nothing but the fact that a late launch was possible was logged, as numbers of jobs and machines.

Change, at info level: a term's rights when they change, with the age of what it knows of cancellations; the revision and age of the records that a term or a lease renewer begins with; each written cancellation; for a lease renewer, the jobs with late launches, how long they have been cancelled, and how many of the attempts an earlier term granted; each launch and stop of an attempt that must not run, and each refused renewal, with the time left and the machine's token; the end of renewing.

The reading of late launches is a file of its own (open_jobs.go), the launch another (late_launch.go), so lease_renewer.go holds registration and responses. Published leases are indexed for one job at a time, only when a cancelled job is found.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -88,7 +88,11 @@
 	if err != nil {
 		return fmt.Errorf("encode records of %s: %w", job, err)
 	}
-	return a.writeRecords(ctx, job, entry.Version, records)
+	revision, err := a.writeRecords(ctx, job, entry.Version, records)
+	if err == nil {
+		a.log.Info("job cancelled", "job", job, "revision", revision)
+	}
+	return err
 }
 
 // readJobState returns a job's stored state, which is pending or final. It returns "" if the job was never accepted.
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -79,7 +79,7 @@
 		a.rejectTooLong(ctx, w, job.ID)
 		return
 	}
-	switch err := a.writeRecords(ctx, job.ID, 0, records); {
+	switch _, err := a.writeRecords(ctx, job.ID, 0, records); {
 	case err == nil:
 		a.log.Debug("job accepted", "job", job.ID, "class", job.Class, "team", job.Team, "tasks", job.Tasks)
 		a.writeJobStatus(w, http.StatusCreated, job.ID, wire.JobPending)
@@ -117,15 +117,17 @@
 	return jobRecords{status: statusValue, openJob: openJobValue}, nil
 }
 
-// writeRecords writes both records of a job if both have the given version. Version 0 means that neither exists yet.
-func (a *API) writeRecords(ctx context.Context, job wire.JobID, version uint64, records jobRecords) error {
+// writeRecords writes both records of a job if both have the given version, and returns the store's revision of the
+// write. Version 0 means that neither exists yet.
+func (a *API) writeRecords(
+	ctx context.Context, job wire.JobID, version uint64, records jobRecords,
+) (revision uint64, err error) {
 	statusKey, openJobKey := state.JobStatusKey(job), state.OpenJobKey(job)
-	_, err := a.store.CompareAndSwap(ctx, wire.Transaction{
+	return a.store.CompareAndSwap(ctx, wire.Transaction{
 		If: []wire.Condition{{Key: statusKey, Version: version}, {Key: openJobKey, Version: version}},
 		Then: []wire.Change{
 			{Put: statusKey, Value: records.status},
 			{Put: openJobKey, Value: records.openJob},
 		},
 	})
-	return err
 }
--- a/internal/follower/ended_jobs.go
+++ b/internal/follower/ended_jobs.go
@@ -21,19 +21,6 @@
 	lateLaunches map[wire.MachineID][]lateLaunch
 }
 
-// lateLaunch is an attempt of a cancelled job whose launch may still arrive at the worker, as long as the worker is in
-// the incarnation that the attempt was granted for and has seen no higher fencing token than the attempt's. Renewing
-// the worker's lease prolongs that incarnation.
-type lateLaunch struct {
-	job         wire.JobID
-	task        string
-	attempt     wire.AttemptID
-	incarnation wire.AgentIncarnation
-	// until is the time from which it is too late to send a launch and a stop of the attempt to a worker that does not
-	// know it. If it is unknown, it may be too late already.
-	until micros.OptionalTimestamp
-}
-
 // decision is what the ended jobs demand of the response to a worker's heartbeat.
 type decision struct {
 	commands []wire.Command
@@ -47,6 +34,15 @@
 	return &endedJobs{ended: map[wire.JobID]bool{}, lateLaunches: map[wire.MachineID][]lateLaunch{}}
 }
 
+// addLateLaunches adds attempts to lateLaunches.
+func (j *endedJobs) addLateLaunches(launches []lateLaunch) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, launch := range launches {
+		j.lateLaunches[launch.machine] = append(j.lateLaunches[launch.machine], launch)
+	}
+}
+
 // contains reports whether a job is known to have ended.
 func (j *endedJobs) contains(job wire.JobID) bool {
 	j.mu.Lock()
@@ -138,29 +134,3 @@
 	}
 	return commands
 }
-
-// arrived reports whether a worker's heartbeat lists the attempt, so that a copy of its launch has no effect.
-func (l lateLaunch) arrived(heartbeat *wire.Heartbeat) bool {
-	return slices.ContainsFunc(heartbeat.Tasks, func(task wire.TaskStatus) bool {
-		return task.Task == l.task && task.Attempt == l.attempt
-	})
-}
-
-// fencedBy reports whether a worker that has seen a fencing token executes no launch of the attempt.
-func (l lateLaunch) fencedBy(token wire.FencingToken) bool { return l.attempt.FencingToken() < token }
-
-// stoppable reports whether the attempt may be launched and stopped now.
-func (l lateLaunch) stoppable(now micros.Timestamp) bool {
-	until, known := l.until.Get()
-	return known && now < until
-}
-
-// logAttributes returns what decides about the attempt in the response to a worker's heartbeat.
-func (l lateLaunch) logAttributes(now micros.Timestamp, heartbeat *wire.Heartbeat) []any {
-	timeLeft := "unknown"
-	if until, known := l.until.Get(); known {
-		timeLeft = until.Sub(now).AsDuration().String()
-	}
-	return []any{"machine", heartbeat.Machine, "task", l.task, "attempt", l.attempt, "time_left", timeLeft,
-		"worker_token", heartbeat.FencingToken}
-}
--- a/internal/follower/lease_renewer.go
+++ b/internal/follower/lease_renewer.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"sync"
 	"time"
 
-	"saffronbend/internal/manager"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/openjobs"
 	"saffronbend/internal/routine"
@@ -21,8 +21,6 @@
 	registrationInterval = registrationTTL / 5
 	// registrationMargin is how long before the end of registrationTTL this controller stops renewing worker leases.
 	registrationMargin = registrationTTL / 10
-	// readRetryInterval is the delay before retrying to read a job's progress records.
-	readRetryInterval = 100 * micros.Millisecond
 )
 
 // Store contains the methods of the key-value store that a Follower uses.
@@ -64,7 +62,9 @@
 	stopWatch := func() {}
 	for routine.Sleep(ctx, registrationInterval) {
 		if !leaderContactLost() {
-			r.setValidUntil(0)
+			if r.setValidUntil(0) != 0 {
+				r.cfg.Log.Info("contact with the leader restored, no longer renewing worker leases", "fencing_token", r.token)
+			}
 			lease = 0
 			stopWatch()
 			continue
@@ -80,8 +80,8 @@
 			err = r.cfg.Store.RenewLease(ctx, lease)
 		}
 		if err != nil {
+			r.logRegistrationFailure(ctx, lease != 0, err)
 			lease = 0
-			r.cfg.Log.Debug("cannot renew worker leases on the leader's behalf", "error", err)
 			continue
 		}
 		if r.setValidUntil(requestedAt.Add(registrationTTL-registrationMargin)) == 0 {
@@ -92,6 +92,16 @@
 	stopWatch()
 }
 
+// logRegistrationFailure logs that this controller is not registered, at info level if it was registered before.
+func (r *leaseRenewer) logRegistrationFailure(ctx context.Context, registered bool, err error) {
+	level := slog.LevelDebug
+	if registered {
+		level = slog.LevelInfo
+	}
+	r.cfg.Log.Log(ctx, level, "cannot renew worker leases on the leader's behalf",
+		"fencing_token", r.token, "error", err)
+}
+
 // setValidUntil sets the time until which worker leases may be renewed, and returns the previous one.
 func (r *leaseRenewer) setValidUntil(until micros.Timestamp) (before micros.Timestamp) {
 	r.mu.Lock()
@@ -135,6 +145,8 @@
 	if initial.Records, revision, err = r.cfg.Store.List(ctx, state.OpenJobPrefix); err != nil {
 		return func() {}, err
 	}
+	r.cfg.Log.Info("read the open jobs to renew worker leases", "fencing_token", r.token, "revision", revision,
+		"open_jobs", len(initial.Records))
 	jobs := newEndedJobs()
 	r.setJobs(jobs)
 	ctx, stop = context.WithCancel(ctx)
@@ -152,109 +164,6 @@
 	r.jobs = jobs
 }
 
-// applyOpenJobs applies an update of the open-job records to what their watch has found. It does not apply the update's
-// ended jobs, nor advance the resolved timestamp, until the attempts of these jobs have been read.
-func (r *leaseRenewer) applyOpenJobs(ctx context.Context, jobs *endedJobs, update openjobs.Update) {
-	published := indexLeases(r.cfg.Health.LatestSnapshot())
-	found := newEndedJobs()
-	for _, item := range update.Records {
-		job := openjobs.JobIDFromKey(item.Key)
-		record := r.decodeFinalState(item)
-		if record.FinalState == "" || jobs.contains(job) {
-			continue
-		}
-		found.ended[job] = true
-		if record.FinalState != wire.JobCancelled {
-			continue // a late launch starts a task that is done, which is harmless
-		}
-		// Cancellations before the resolved timestamp have been found by an earlier update.
-		cancelledAt := r.recordedCancellation(record).Later(jobs.resolvedAt())
-		if !r.readAttempts(ctx, job, found, lateLaunchLimits{cancelledAt: cancelledAt, published: &published}) {
-			return
-		}
-	}
-	jobs.apply(found, update)
-	if len(found.lateLaunches) > 0 {
-		r.cfg.Log.Info("launches of cancelled jobs may still arrive",
-			"jobs", len(found.ended), "machines", len(found.lateLaunches))
-	}
-}
-
-// decodeFinalState decodes what an open-job record says about the end of the job, and nothing else. A record that
-// cannot be decoded is logged; fields that cannot be decoded are empty.
-func (r *leaseRenewer) decodeFinalState(item wire.KeyValue) state.JobFinalState {
-	var record state.JobFinalState
-	if err := json.Unmarshal(item.Value, &record); err != nil {
-		r.cfg.Log.Error("cannot decode an open-job record", "key", item.Key, "error", err)
-	}
-	return record
-}
-
-// recordedCancellation returns the earliest time at which the cancellation of a job can have been confirmed, according
-// to the job's record. It is unknown if an earlier version wrote the record, if the settings don't bound the skew of
-// the clocks, or if the recorded time is in the future, which it can't be within that bound.
-func (r *leaseRenewer) recordedCancellation(record state.JobFinalState) micros.OptionalTimestamp {
-	skew, bounded := r.cfg.Settings.MaxClockSkew()
-	if record.CancelledAt == nil || !bounded {
-		return micros.OptionalTimestamp{}
-	}
-	earliest := r.cfg.Clock.FromUnixMicro(*record.CancelledAt).Add(-skew)
-	if earliest > r.cfg.Clock.Now() {
-		return micros.OptionalTimestamp{}
-	}
-	return micros.KnownTimestamp(earliest)
-}
-
-// lateLaunchLimits is what is known of when the launches of a cancelled job's attempts may arrive and be stopped.
-type lateLaunchLimits struct {
-	cancelledAt micros.OptionalTimestamp // the job was cancelled then or later
-	published   *publishedLeases
-}
-
-// readAttempts adds the recorded attempts of a cancelled job whose launch may still arrive to found. It retries until
-// the read succeeds, and returns false if ctx ended first. Once a job has ended, no further attempts of it are
-// recorded.
-func (r *leaseRenewer) readAttempts(
-	ctx context.Context, job wire.JobID, found *endedJobs, limits lateLaunchLimits,
-) bool {
-	for {
-		items, _, err := r.cfg.Store.List(ctx, state.ProgressPrefix+string(job)+"/")
-		if err == nil {
-			for _, item := range items {
-				r.addAttempts(job, item, found, limits)
-			}
-			return true
-		}
-		if !routine.Sleep(ctx, readRetryInterval) {
-			return false
-		}
-	}
-}
-
-// addAttempts adds the attempts in a progress record of a cancelled job whose launch may still arrive to found. If the
-// record cannot be decoded, this is logged, and only the attempts that were decoded are added, if any.
-func (r *leaseRenewer) addAttempts(
-	job wire.JobID, item wire.KeyValue, found *endedJobs, limits lateLaunchLimits,
-) {
-	var progress state.ProgressRecord
-	if err := json.Unmarshal(item.Value, &progress); err != nil {
-		r.cfg.Log.Error("cannot decode a progress record", "key", item.Key, "error", err)
-	}
-	window := manager.LaunchAndStopWindow(micros.Seconds(r.cfg.Settings.Deployment.Workers.CancelS))
-	for _, placement := range progress.Active {
-		if limits.published.released(job, placement) {
-			continue
-		}
-		found.lateLaunches[placement.Machine] = append(found.lateLaunches[placement.Machine], lateLaunch{
-			job:         job,
-			task:        wire.TaskName(job, placement.Task),
-			attempt:     placement.Attempt,
-			incarnation: placement.Incarnation,
-			until:       limits.cancelledAt.Add(window),
-		})
-	}
-}
-
 // respond returns a response that renews a worker's lease, or nil if this controller must not renew the lease.
 func (r *leaseRenewer) respond(heartbeat *wire.Heartbeat) *wire.HeartbeatResponse {
 	now := r.cfg.Clock.Now()
--- a/internal/follower/published_leases.go
+++ b/internal/follower/published_leases.go
@@ -6,9 +6,9 @@
 	"saffronbend/wire"
 )
 
-// publishedLeases is an index of the leases that the leader's latest snapshot contains. It tells which recorded
-// attempts the leader had released by then, because they had provably terminated: no launch of them can arrive any
-// more. Progress records of an ended job still contain such attempts. The zero value is the index of no snapshot.
+// publishedLeases is an index of a job's leases in the leader's latest snapshot. It tells which recorded attempts of
+// the job the leader had released by then, because they had provably terminated: no launch of them can arrive any more.
+// Progress records of an ended job still contain such attempts. The zero value is the index of no snapshot.
 type publishedLeases struct {
 	// newest is at least the highest identifier in the snapshot, and at most that of the latest attempt that the leader
 	// had granted; 0: no attempts. Attempts up to it that have no lease have been released.
@@ -19,12 +19,11 @@
 // publishedLease identifies the leases of a job's attempts on a machine. The tasks of a gang share an identifier.
 type publishedLease struct {
 	machine wire.MachineID
-	job     wire.JobID
 	attempt wire.AttemptID
 }
 
-// indexLeases returns the index of a snapshot, or that of no snapshot if latest is nil.
-func indexLeases(latest *snapshot.Snapshot) publishedLeases {
+// indexLeases returns the index of a job's leases in a snapshot, or that of no snapshot if latest is nil.
+func indexLeases(latest *snapshot.Snapshot, job wire.JobID) publishedLeases {
 	if latest == nil {
 		return publishedLeases{}
 	}
@@ -32,17 +31,19 @@
 	for _, machine := range latest.Machines {
 		for _, group := range machine.Leases {
 			for _, lease := range group.Leases {
-				index.leases[publishedLease{machine: machine.ID, job: group.Job, attempt: lease.Attempt}] = true
 				index.newest = max(index.newest, lease.Attempt)
+				if group.Job == job {
+					index.leases[publishedLease{machine: machine.ID, attempt: lease.Attempt}] = true
+				}
 			}
 		}
 	}
 	return index
 }
 
-// released reports whether the leader had released a recorded attempt of a job. Silence of the snapshot about the job
+// released reports whether the leader had released a recorded attempt of the job. Silence of the snapshot about the job
 // proves nothing: the attempt may have been granted after the snapshot.
-func (p *publishedLeases) released(job wire.JobID, placement state.Placement) bool {
-	lease := publishedLease{machine: placement.Machine, job: job, attempt: placement.Attempt}
+func (p publishedLeases) released(placement state.Placement) bool {
+	lease := publishedLease{machine: placement.Machine, attempt: placement.Attempt}
 	return placement.Attempt <= p.newest && !p.leases[lease]
 }
--- a/internal/follower/published_leases_test.go
+++ b/internal/follower/published_leases_test.go
@@ -46,8 +46,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			index := indexLeases(c.latest)
-			got := index.released(c.job, state.Placement{Machine: c.machine, Attempt: c.attempt})
+			got := indexLeases(c.latest, c.job).released(state.Placement{Machine: c.machine, Attempt: c.attempt})
 			if got != c.want {
 				t.Errorf("released: %v, want %v", got, c.want)
 			}
--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -44,5 +44,8 @@
 	if superseded {
 		t.loop.Go(func() { t.stepDown(reasonHigherToken) })
 	}
+	if response != nil {
+		t.logCommands("sending commands in a heartbeat response", heartbeat.Machine, response.Commands)
+	}
 	return peer.RelayResponse{Response: response}
 }
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -84,7 +84,8 @@
 		t.scaler.SetTypes(types)
 	}
 	t.resolved.Advance(stored.requestedAt)
-	t.cfg.Log.Info("term started", "fencing_token", t.token,
+	t.cfg.Log.Info("term started", "fencing_token", t.token, "revision", stored.revision,
+		"records_requested", t.resolved.At().Age(t.cfg.Clock.Now()),
 		"open_jobs", len(stored.openJobs), "records", len(stored.progress))
 	return true
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -55,6 +55,7 @@
 	resolved      openjobs.ResolvedTimestamp
 	lastPublished micros.Timestamp
 	tickDelay     delayDetector
+	rights        rightsLog
 }
 
 // NewTerm returns a term under the given fencing token; Run starts it. The term calls stepDown when it detects that it
@@ -167,6 +168,7 @@
 	}
 	t.assignTeams(now)
 	leaseValid := t.leaseValid(now)
+	t.rights.record(t.cfg.Log, leaseValid, t.mayRenewWorkerLeases(now), now, t.resolved.At())
 	t.manager.SetStoreAvailable(leaseValid)
 	if leaseValid {
 		t.manager.ReserveForWaitingJobs(now)
--- a/internal/manager/commands.go
+++ b/internal/manager/commands.go
@@ -84,6 +84,7 @@
 		if attempt.launch.push == pushOutcomeUnknown && m.mayStopLateLaunch(now, attempt.job) {
 			attempt.machine.tombstones[attempt.key()] = tombstone{job: attempt.job}
 			attempt.launch.responseSeq = sequence
+			m.attemptEvent(now, "launching and stopping an attempt that must not run", attempt)
 			return append(commands, launchCommand(attempt), stopCommand(attempt, 0))
 		}
 	case mayLaunch && attempt.launch.push != pushInFlight && attempt.machine.agent.tokenAcknowledged &&
@@ -114,12 +115,19 @@
 	for _, attempt := range machine.attempts {
 		if attempt.incarnation == machine.agent.incarnation && !attempt.listed && attempt.stop.requested &&
 			attempt.launch.mayArriveByPush() && !m.mayStopLateLaunch(now, attempt.job) {
+			m.attemptEvent(now, "worker lease not renewed, a launch of a cancelled job may arrive", attempt)
 			return true
 		}
 	}
 	return false
 }
 
+// attemptEvent records an event about an attempt whose launch may still arrive.
+func (m *Manager) attemptEvent(now micros.Timestamp, message string, attempt *taskAttempt) {
+	m.event(message, "machine", attempt.machine.id, "task", attempt.taskName, "attempt", attempt.id,
+		"job_state", attempt.job.finalState, "final_since", attempt.job.finalSince.Age(now))
+}
+
 func launchCommand(attempt *taskAttempt) wire.Command {
 	return wire.Command{Op: wire.OpStart, Task: attempt.taskName, Attempt: attempt.id}
 }
--- a/internal/micros/optional.go
+++ b/internal/micros/optional.go
@@ -21,6 +21,14 @@
 	return KnownTimestamp(t.at.Add(d))
 }
 
+// Age returns how long before now the instant was, for logs: for example "1.5s ago", or "unknown".
+func (t OptionalTimestamp) Age(now Timestamp) string {
+	if !t.known {
+		return "unknown"
+	}
+	return now.Sub(t.at).AsDuration().String() + " ago"
+}
+
 // Later returns the later of two instants. An unknown instant counts as earlier than any known one.
 func (t OptionalTimestamp) Later(other OptionalTimestamp) OptionalTimestamp {
 	if !t.known || other.known && other.at > t.at {
--- a/internal/micros/optional_test.go
+++ b/internal/micros/optional_test.go
@@ -24,6 +24,9 @@
 	if at, known := late.Get(); at != 5 || !known {
 		t.Errorf("Get() = %d, %v; want 5, true", at, known)
 	}
+	if unknown.Age(5) != "unknown" || early.Age(Timestamp(1500*Millisecond)) != "1.5s ago" {
+		t.Errorf("ages %q and %q, want unknown and 1.5s ago", unknown.Age(5), early.Age(Timestamp(1500*Millisecond)))
+	}
 	if _, known := unknown.Get(); known {
 		t.Error("the zero value is known")
 	}
--- a/wire/commands.go
+++ b/wire/commands.go
@@ -1,5 +1,7 @@
 package wire
 
+import "fmt"
+
 // CommandOp is the operation that a command requests from a worker.
 type CommandOp string
 
@@ -20,6 +22,9 @@
 	GraceS *float64 `json:"wind_down_s,omitempty"`
 }
 
+// String returns the command for logs, for example "launch run-000412/3 attempt 1048577".
+func (c Command) String() string { return fmt.Sprintf("%s %s attempt %d", c.Op, c.Task, c.Attempt) }
+
 // StopCommand returns a command that stops an attempt of a task with a grace period in seconds.
 func StopCommand(task string, attempt AttemptID, graceS float64) Command {
 	return Command{Op: OpStop, Task: task, Attempt: attempt, GraceS: &graceS}
