Controllers serve metrics: who leads under which token, and what became of heartbeats

Need: monitoring during the incident showed processes and answers, not which controller renewed worker leases on which authority, how old its knowledge of cancellations was, or that launches of cancelled jobs were being sent.

Change: package metrics, with the Prometheus client library, a registry for each controller. GET /metrics on the cluster address has the leader's role and token, the age of the resolved timestamp (NaN on controllers that don't lead, not 0), heartbeats by role and outcome, commands by kind, and the attempts that a lease renewer launched and stopped.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -18,6 +18,7 @@
 	"saffronbend/internal/call"
 	"saffronbend/internal/health"
 	"saffronbend/internal/ingress"
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
 	"saffronbend/internal/placement"
@@ -58,6 +59,7 @@
 	Dial        call.Dialer
 	Store       Store
 	Health      *health.Monitor
+	Metrics     *metrics.Metrics
 	Placer      Placer
 }
 
--- a/internal/follower/lease_renewer.go
+++ b/internal/follower/lease_renewer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/openjobs"
 	"saffronbend/internal/routine"
@@ -170,17 +171,28 @@
 	r.mu.Lock()
 	validUntil, jobs := r.validUntil, r.jobs
 	r.mu.Unlock()
-	if now >= validUntil || heartbeat.FencingToken > r.token || !jobs.fresh(now, r.cfg.Settings.MaxStaleness()) {
+	switch {
+	case now >= validUntil:
+		return nil // not registered, so this controller renews no leases
+	case heartbeat.FencingToken > r.token:
+		r.cfg.Metrics.Heartbeat(metrics.LeaseRenewer, metrics.Refused)
+		return nil
+	case !jobs.fresh(now, r.cfg.Settings.MaxStaleness()):
+		r.cfg.Metrics.Heartbeat(metrics.LeaseRenewer, metrics.RefusedStale)
 		return nil
 	}
 	decided := jobs.decide(now, r.token, heartbeat)
 	if late := decided.tooLate; late != nil {
+		r.cfg.Metrics.Heartbeat(metrics.LeaseRenewer, metrics.RefusedLateLaunch)
 		r.cfg.Log.Info("worker lease not renewed, a launch of a cancelled job may arrive",
 			late.logAttributes(now, heartbeat)...)
 		return nil
 	}
 	for _, late := range decided.launched {
+		r.cfg.Metrics.LateLaunch()
 		r.cfg.Log.Info("launching and stopping an attempt of a cancelled job", late.logAttributes(now, heartbeat)...)
 	}
+	r.cfg.Metrics.Heartbeat(metrics.LeaseRenewer, metrics.Renewed)
+	r.cfg.Metrics.CommandsSent(metrics.LeaseRenewer, decided.commands)
 	return &wire.HeartbeatResponse{FencingToken: r.token, Commands: decided.commands}
 }
--- a/internal/leader/command_push.go
+++ b/internal/leader/command_push.go
@@ -15,7 +15,7 @@
 func (t *Term) pushCommands(ctx context.Context, now micros.Timestamp) {
 	mayLaunch := t.leaseValid(now) && !t.tickDelay.late
 	for _, push := range t.manager.CommandPushes(now, mayLaunch) {
-		t.logCommands("pushing commands", push.Machine, push.Body.Commands)
+		t.recordCommands("pushing commands", push.Machine, push.Body.Commands)
 		t.loop.Go(func() { t.pushCommand(ctx, push) })
 	}
 }
--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
 	"saffronbend/wire"
@@ -37,6 +38,7 @@
 		return peer.RelayResponse{WorkerReachable: true}
 	}
 	if !t.mayRenewWorkerLeases(now) {
+		t.cfg.Metrics.Heartbeat(metrics.Leader, metrics.RefusedStale)
 		return peer.RelayResponse{}
 	}
 	// A leader that can't reach the store continues to renew worker leases for a bounded time, but launches no tasks.
@@ -44,8 +46,11 @@
 	if superseded {
 		t.loop.Go(func() { t.stepDown(reasonHigherToken) })
 	}
-	if response != nil {
-		t.logCommands("sending commands in a heartbeat response", heartbeat.Machine, response.Commands)
+	if response == nil {
+		t.cfg.Metrics.Heartbeat(metrics.Leader, metrics.Refused)
+		return peer.RelayResponse{}
 	}
+	t.cfg.Metrics.Heartbeat(metrics.Leader, metrics.Renewed)
+	t.recordCommands("sending commands in a heartbeat response", heartbeat.Machine, response.Commands)
 	return peer.RelayResponse{Response: response}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -16,6 +16,7 @@
 	"saffronbend/internal/health"
 	"saffronbend/internal/leader/scaling"
 	"saffronbend/internal/machinetypes"
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/placement"
 	"saffronbend/internal/settings"
@@ -57,5 +58,6 @@
 	Workers  Workers
 	Types    *machinetypes.Catalog
 	Health   *health.Monitor
+	Metrics  *metrics.Metrics
 	Placer   Placer
 }
--- a/internal/leader/rights.go
+++ b/internal/leader/rights.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/micros"
 	"saffronbend/wire"
 )
@@ -25,8 +26,9 @@
 		"cancellations_known_until", resolvedAt.Age(now))
 }
 
-// logCommands logs the commands that are sent to a machine, at debug level.
-func (t *Term) logCommands(message string, machine wire.MachineID, commands []wire.Command) {
+// recordCommands counts the commands that are sent to a machine, and logs them at debug level.
+func (t *Term) recordCommands(message string, machine wire.MachineID, commands []wire.Command) {
+	t.cfg.Metrics.CommandsSent(metrics.Leader, commands)
 	if len(commands) > 0 {
 		t.cfg.Log.Debug(message, "fencing_token", t.token, "machine", machine, "commands", commands)
 	}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -168,6 +168,9 @@
 	}
 	t.assignTeams(now)
 	leaseValid := t.leaseValid(now)
+	if resolvedAt, known := t.resolved.At().Get(); known {
+		t.cfg.Metrics.CancellationsKnown(now.Sub(resolvedAt))
+	}
 	t.rights.record(t.cfg.Log, leaseValid, t.mayRenewWorkerLeases(now), now, t.resolved.At())
 	t.manager.SetStoreAvailable(leaseValid)
 	if leaseValid {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -19,6 +19,7 @@
 	"saffronbend/internal/follower"
 	"saffronbend/internal/health"
 	"saffronbend/internal/leader"
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
 	"saffronbend/internal/routine"
@@ -67,6 +68,7 @@
 	Dial     call.Dialer
 	Store    Store
 	Health   *health.Monitor
+	Metrics  *metrics.Metrics
 	Limits   RateLimits
 	Leader   leader.Config
 	Follower follower.Config
@@ -178,6 +180,7 @@
 	d.leader, d.token = current, token
 	d.role.Store(&Role{Leader: current})
 	d.cfg.Limits.SetLeading(leading)
+	d.cfg.Metrics.RoleChanged(leading, token)
 	switch {
 	case current == "":
 	case leading:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -447,6 +447,7 @@
 			http.StatusMisdirectedRequest,
 		},
 		{"additional route", http.MethodPost, "/other/method", "", http.StatusTeapot},
+		{"additional route without parameters", http.MethodGet, "/counts", "", http.StatusTeapot},
 		{"unknown path", http.MethodPost, "/unknown", "", http.StatusNotFound},
 	}
 	for _, test := range tests {
@@ -454,8 +455,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				l := &fakeLeader{}
 				other := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
-				route := Route{Prefix: "/other/", Handler: other}
-				client := newTestClient(t, serveLeader(t, l, route).dial, leaderToken)
+				routes := []Route{
+					{Method: http.MethodPost, Pattern: "/other/*method", Handler: other},
+					{Method: http.MethodGet, Pattern: "/counts", Handler: other},
+				}
+				client := newTestClient(t, serveLeader(t, l, routes...).dial, leaderToken)
 				request, err := http.NewRequestWithContext(t.Context(), test.method, "http://leader"+test.path,
 					bytes.NewReader([]byte(test.body)))
 				if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -41,7 +41,8 @@
 // Route is an additional service on the listener of Serve. It handles POST requests to all paths below Prefix, which
 // must end with a slash.
 type Route struct {
-	Prefix  string
+	Method  string
+	Pattern string // a path, in which the last element may be *NAME for any remainder
 	Handler http.Handler
 }
 
@@ -68,7 +69,7 @@
 func newRouter(controller Controller, routes []Route) *httprouter.Router {
 	router := httprouter.New()
 	for _, route := range routes {
-		router.Handler(http.MethodPost, route.Prefix+"*method", route.Handler)
+		router.Handler(route.Method, route.Pattern, route.Handler)
 	}
 	router.GET(snapshotPath, serveSnapshots(controller))
 	router.POST(leaseRequestPath, serveRequest(controller.RequestLeases))
--- a/node.go
+++ b/node.go
@@ -20,6 +20,7 @@
 	"saffronbend/internal/leader"
 	"saffronbend/internal/leadership"
 	"saffronbend/internal/machinetypes"
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/micros"
 	"saffronbend/internal/peer"
 	"saffronbend/internal/placement"
@@ -44,6 +45,7 @@
 	cloud       *cloud.Client
 	types       *machinetypes.Catalog
 	health      *health.Monitor
+	metrics     *metrics.Metrics
 	placer      *placement.Placer
 	leadership  *leadership.Driver
 }
@@ -61,9 +63,10 @@
 		incarnation: rand.Uint64() >> 11, // JSON numbers are exact up to 53 bits
 		store: state.New(network.Dial, cfg.Services.State, cfg.PerController(storeLimits.RPS),
 			storeLimits.WriteRPS*urgentWriteShare),
-		cloud:  cloud.New(network.Dial, cfg.Services.Cloud, cfg.PerController(deployment.Cloud.RPS)),
-		types:  &machinetypes.Catalog{},
-		health: health.NewMonitor(clock),
+		cloud:   cloud.New(network.Dial, cfg.Services.Cloud, cfg.PerController(deployment.Cloud.RPS)),
+		types:   &machinetypes.Catalog{},
+		health:  health.NewMonitor(clock),
+		metrics: metrics.New(),
 	}
 	node.placer = placement.New(placement.Config{
 		Controller: cfg.Member,
@@ -89,6 +92,7 @@
 		Dial:        n.network.Dial,
 		Store:       n.store,
 		Health:      n.health,
+		Metrics:     n.metrics,
 		Limits:      limits,
 		Leader: leader.Config{
 			Settings: n.settings,
@@ -100,6 +104,7 @@
 			Workers:  worker.NewClient(n.network.Dial),
 			Types:    n.types,
 			Health:   n.health,
+			Metrics:  n.metrics,
 			Placer:   n.placer,
 		},
 		Follower: follower.Config{
@@ -110,6 +115,7 @@
 			Dial:        n.network.Dial,
 			Store:       n.store,
 			Health:      n.health,
+			Metrics:     n.metrics,
 			Placer:      n.placer,
 		},
 	})
--- a/server.go
+++ b/server.go
@@ -14,6 +14,7 @@
 
 	"saffronbend/internal/api"
 	"saffronbend/internal/ingress"
+	"saffronbend/internal/metrics"
 	"saffronbend/internal/operator"
 	"saffronbend/internal/peer"
 	"saffronbend/internal/routine"
@@ -95,11 +96,13 @@
 
 // operatorRoutes returns the routes of the operators' services, which share the listener for the other controllers.
 func (n *Node) operatorRoutes() []peer.Route {
+	const anyMethod = "*method"
 	service := &operatorService{settings: n.settings, leadership: n.leadership}
 	drainPath, drainHandler := operator.DrainHandler(service, n.network.Dial)
 	rebalancingPath, rebalancingHandler := operator.RebalancingHandler(service, n.network.Dial)
 	return []peer.Route{
-		{Prefix: drainPath, Handler: drainHandler},
-		{Prefix: rebalancingPath, Handler: rebalancingHandler},
+		{Method: http.MethodPost, Pattern: drainPath + anyMethod, Handler: drainHandler},
+		{Method: http.MethodPost, Pattern: rebalancingPath + anyMethod, Handler: rebalancingHandler},
+		{Method: http.MethodGet, Pattern: metrics.Path, Handler: n.metrics.Handler()},
 	}
 }
