A leader's first response to a worker stops recovered attempts of cancelled jobs

Need: the path beside the lease renewer's with the same gap. Callers have seen nothing of it; it is read from the code.

Cause: a new leader's first response raises the worker's token, which fences off the launches of earlier terms. One that arrives between the worker's heartbeat and that response is not fenced off: its task starts, and the response renews the lease without a stop. If the worker then loses all controllers, the task runs for a lease, whatever is left of cancel_s.

Once the worker has the token, absence proves termination as before.

Test: TestFirstResponseStopsRecoveredAttemptOfCancelledJob failed before (no command).

--- a/internal/manager/cancellation_test.go
+++ b/internal/manager/cancellation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"saffronbend/internal/micros"
+	"saffronbend/internal/state"
 	"saffronbend/wire"
 )
 
@@ -46,3 +47,16 @@
 		})
 	}
 }
+
+// The first response to a worker that has not seen this term's token stops an attempt of a cancelled job that the
+// worker does not list: an earlier leader's launch may have arrived since the heartbeat, and later ones are fenced off.
+func TestFirstResponseStopsRecoveredAttemptOfCancelledJob(t *testing.T) {
+	const earlierToken = token - 2
+	attempt := wire.NewAttemptID(earlierToken, 3)
+	h := newHarness(t, []wire.KeyValue{storedItem(state.OpenJobKey("run-1"), 5, cancelledRecord("run-1"))},
+		[]wire.KeyValue{storedItem(state.ProgressKey("run-1", 0), 6, state.ProgressRecord{
+			Active: []state.Placement{{Task: 0, Machine: "n-1-a", Attempt: attempt, Incarnation: 1}},
+		})})
+	h.want(h.heartbeat("n-1-a", earlierToken, 1), command("stop", "run-1/0", attempt))
+	h.want(h.heartbeat("n-1-a", token, 1), "")
+}
--- a/internal/manager/commands.go
+++ b/internal/manager/commands.go
@@ -80,6 +80,9 @@
 		attempt.stop.sentAt = now
 		return append(commands, stopCommand(attempt, attempt.stop.graceS))
 	case attempt.listed:
+	case attempt.stop.requested && !attempt.grantedThisTerm:
+		// An earlier leader's launch may have arrived since the heartbeat. This response's token fences off later ones.
+		return append(commands, stopCommand(attempt, 0))
 	case attempt.stop.requested:
 		if attempt.launch.push == pushOutcomeUnknown && m.mayStopLateLaunch(now, attempt.job) {
 			attempt.machine.tombstones[attempt.key()] = tombstone{job: attempt.job}
