Failing test: a new leader does not count a recorded attempt of a task that is done already

Trace: a late copy of a heartbeat shows that a task of an earlier attempt is done; the newer attempt is to be stopped, but its machine hangs or can't be reached. The record has the task as done and the newer attempt as one that may exist. The next leader skips placements of tasks that are done (Manager.recoverAttempts), so such tasks, which still run, no longer count, and it grants a task of 4 CPUs. Which of the five running tasks of 1 CPU it did not count was not traced.

--- a/internal/manager/recovery_test.go
+++ b/internal/manager/recovery_test.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"fmt"
 	"testing"
 
 	"saffronbend/internal/state"
@@ -19,3 +20,21 @@
 	h.want(h.m.NextWrite(h.now) == nil, true)
 	h.want(len(h.m.machines.byID), 0)
 }
+
+// A recorded attempt of a task that is done already may still run, so it counts against its team's limit.
+func TestRecoveredAttemptOfDoneTaskCountsAgainstLimit(t *testing.T) {
+	earlierAttempt := wire.NewAttemptID(token-2, 3)
+	progress := state.ProgressRecord{
+		Done:   state.EncodeDoneBitmap(1, func(int) bool { return true }),
+		Active: []state.Placement{{Task: 0, Machine: "n-9-a", Attempt: earlierAttempt, Incarnation: 1}},
+	}
+	h := newHarness(t, []wire.KeyValue{storedItem(state.OpenJobKey("run-1"), 5, record("run-1", 48, nil))},
+		[]wire.KeyValue{storedItem(state.ProgressKey("run-1", 0), 6, progress)})
+	granted := 0
+	for i := range 6 {
+		machine := wire.MachineID(fmt.Sprintf("n-%d-a", i))
+		h.start(machine)
+		granted += h.grant("run-1", machine, 2)
+	}
+	h.want(granted, 9) // the limit is 40 CPUs, and each task uses 4
+}
