Late launches: one index of leases an update, one loop by machine; what stood twice serves both

Read once more, nothing changes in behaviour. What an update found was collected in a second endedJobs with a lock that nobody shared, and copied by machine twice; the found jobs and launches are passed to apply instead.

The soak calls the runner's RunInBubble instead of a copy of it. The comment of peer.Route said what held before routes named their method.

--- a/internal/follower/ended_jobs.go
+++ b/internal/follower/ended_jobs.go
@@ -34,15 +34,6 @@
 	return &endedJobs{ended: map[wire.JobID]bool{}, lateLaunches: map[wire.MachineID][]lateLaunch{}}
 }
 
-// addLateLaunches adds attempts to lateLaunches.
-func (j *endedJobs) addLateLaunches(launches []lateLaunch) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for _, launch := range launches {
-		j.lateLaunches[launch.machine] = append(j.lateLaunches[launch.machine], launch)
-	}
-}
-
 // contains reports whether a job is known to have ended.
 func (j *endedJobs) contains(job wire.JobID) bool {
 	j.mu.Lock()
@@ -64,16 +55,17 @@
 	return j.resolved.Fresh(now, maxAge)
 }
 
-// apply adds the ended jobs that were found in an update of the open-job records, and removes those whose records were
-// deleted. A job's records are deleted only once none of its attempts can exist any more.
-func (j *endedJobs) apply(found *endedJobs, update openjobs.Update) {
+// apply adds the jobs that were found to have ended in an update of the open-job records, with their late launches, and
+// removes those whose records were deleted. A job's records are deleted only once none of its attempts can exist any
+// more.
+func (j *endedJobs) apply(ended []wire.JobID, launches []lateLaunch, update openjobs.Update) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for job := range found.ended {
+	for _, job := range ended {
 		j.ended[job] = true
 	}
-	for machine, launches := range found.lateLaunches {
-		j.lateLaunches[machine] = append(j.lateLaunches[machine], launches...)
+	for _, launch := range launches {
+		j.lateLaunches[launch.machine] = append(j.lateLaunches[launch.machine], launch)
 	}
 	for _, job := range j.removedBy(update) {
 		delete(j.ended, job)
--- a/internal/follower/lease_renewer_test.go
+++ b/internal/follower/lease_renewer_test.go
@@ -86,6 +86,21 @@
 	return renewer
 }
 
+// checkResponse checks that there is no response if the renewal is refused, and otherwise one with the commands.
+func checkResponse(t *testing.T, response *wire.HeartbeatResponse, refused bool, commands []wire.Command) {
+	t.Helper()
+	if refused {
+		if response != nil {
+			t.Errorf("the response is %+v, want nil", response)
+		}
+		return
+	}
+	want := &wire.HeartbeatResponse{FencingToken: token, Commands: append([]wire.Command{}, commands...)}
+	if !reflect.DeepEqual(response, want) {
+		t.Errorf("the response is %+v, want %+v", response, want)
+	}
+}
+
 func TestLeaseRenewerRespond(t *testing.T) {
 	listed := func(task string, attempt wire.AttemptID) []wire.TaskStatus {
 		return []wire.TaskStatus{{Task: task, Attempt: attempt, State: wire.TaskRunning}}
@@ -122,16 +137,7 @@
 				time.Sleep(c.after)
 				c.heartbeat.FencingToken, c.heartbeat.Tasks = c.token, c.tasks
 				response := renewer.respond(&c.heartbeat)
-				if c.refused {
-					if response != nil {
-						t.Errorf("the response is %+v, want nil", response)
-					}
-					return
-				}
-				want := &wire.HeartbeatResponse{FencingToken: token, Commands: append([]wire.Command{}, c.want...)}
-				if !reflect.DeepEqual(response, want) {
-					t.Errorf("the response is %+v, want %+v", response, want)
-				}
+				checkResponse(t, response, c.refused, c.want)
 			})
 		})
 	}
@@ -169,16 +175,7 @@
 						openjobs.Update{RequestedAt: now, CompleteAt: 9, Records: []wire.KeyValue{ended}})
 					renewer.setValidUntil(now.Add(micros.Second))
 					response := renewer.respond(&wire.Heartbeat{Machine: "m1", Incarnation: 5, FencingToken: c.workerToken})
-					if c.refused {
-						if response != nil {
-							t.Errorf("the response is %+v, want nil", response)
-						}
-						return
-					}
-					want := &wire.HeartbeatResponse{FencingToken: token, Commands: append([]wire.Command{}, c.want...)}
-					if !reflect.DeepEqual(response, want) {
-						t.Errorf("the response is %+v, want %+v", response, want)
-					}
+					checkResponse(t, response, c.refused, c.want)
 				})
 			})
 		}
@@ -228,16 +225,7 @@
 				renewer.applyOpenJobs(t.Context(), renewer.jobs,
 					openjobs.Update{RequestedAt: renewer.cfg.Clock.Now(), CompleteAt: 9, Records: records})
 				response := renewer.respond(&wire.Heartbeat{Machine: "m1", Incarnation: 5, FencingToken: token})
-				if c.refused {
-					if response != nil {
-						t.Errorf("the response is %+v, want nil", response)
-					}
-					return
-				}
-				want := &wire.HeartbeatResponse{FencingToken: token, Commands: append([]wire.Command{}, c.want...)}
-				if !reflect.DeepEqual(response, want) {
-					t.Errorf("the response is %+v, want %+v", response, want)
-				}
+				checkResponse(t, response, c.refused, c.want)
 			})
 		})
 	}
--- a/internal/follower/open_jobs.go
+++ b/internal/follower/open_jobs.go
@@ -15,30 +15,49 @@
 // readRetryInterval is the delay before retrying to read a job's progress records.
 const readRetryInterval = 100 * micros.Millisecond
 
+// cancelledJob is a cancelled job that an update of the open-job records contains.
+type cancelledJob struct {
+	id          wire.JobID
+	cancelledAt micros.OptionalTimestamp // it was cancelled then or later
+}
+
 // applyOpenJobs applies an update of the open-job records to what their watch has found. It does not apply the update's
-// ended jobs, nor advance the resolved timestamp, until the attempts of these jobs have been read.
+// ended jobs, nor advance the resolved timestamp, until the attempts of the cancelled ones have been read. A late
+// launch of a job that is done needs nothing: it starts a task that exits at once.
 func (r *leaseRenewer) applyOpenJobs(ctx context.Context, jobs *endedJobs, update openjobs.Update) {
-	found := newEndedJobs()
+	ended, cancelled := r.newlyEnded(jobs, update)
+	published := indexLeases(r.cfg.Health.LatestSnapshot(), cancelled)
+	var launches []lateLaunch
+	for _, job := range cancelled {
+		launchesOfJob, ok := r.readLateLaunches(ctx, job, published)
+		if !ok {
+			return
+		}
+		launches = append(launches, launchesOfJob...)
+		r.logLateLaunches(job, launchesOfJob)
+	}
+	jobs.apply(ended, launches, update)
+}
+
+// newlyEnded returns the jobs of an update that have ended and that their watch did not know as ended, and the
+// cancelled ones among them.
+func (r *leaseRenewer) newlyEnded(
+	jobs *endedJobs, update openjobs.Update,
+) (ended []wire.JobID, cancelled []cancelledJob) {
 	for _, item := range update.Records {
 		job := openjobs.JobIDFromKey(item.Key)
 		record := r.decodeFinalState(item)
 		if record.FinalState == "" || jobs.contains(job) {
 			continue
 		}
-		found.ended[job] = true
-		if record.FinalState != wire.JobCancelled {
-			continue // a late launch starts a task that is done, which is harmless
-		}
-		// Cancellations before the resolved timestamp have been found by an earlier update.
-		cancelledAt := r.recordedCancellation(record).Later(jobs.resolvedAt())
-		launches, ok := r.readLateLaunches(ctx, job, cancelledAt)
-		if !ok {
-			return
+		ended = append(ended, job)
+		if record.FinalState == wire.JobCancelled {
+			// Cancellations before the resolved timestamp have been found by an earlier update.
+			cancelledAt := r.recordedCancellation(record).Later(jobs.resolvedAt())
+			cancelled = append(cancelled, cancelledJob{id: job, cancelledAt: cancelledAt})
 		}
-		found.addLateLaunches(launches)
-		r.logLateLaunches(job, cancelledAt, launches)
 	}
-	jobs.apply(found, update)
+	return ended, cancelled
 }
 
 // decodeFinalState decodes what an open-job record says about the end of the job, and nothing else. A record that
@@ -69,12 +88,12 @@
 // readLateLaunches returns the recorded attempts of a cancelled job whose launch may still arrive. It retries until the
 // read succeeds; ok is false if ctx ended first. Once a job has ended, no further attempts of it are recorded.
 func (r *leaseRenewer) readLateLaunches(
-	ctx context.Context, job wire.JobID, cancelledAt micros.OptionalTimestamp,
+	ctx context.Context, job cancelledJob, published publishedLeases,
 ) (launches []lateLaunch, ok bool) {
 	for {
-		records, _, err := r.cfg.Store.List(ctx, state.ProgressPrefix+string(job)+"/")
+		records, _, err := r.cfg.Store.List(ctx, state.ProgressPrefix+string(job.id)+"/")
 		if err == nil {
-			return r.lateLaunches(job, cancelledAt, records), true
+			return r.lateLaunches(job, published, records), true
 		}
 		if !routine.Sleep(ctx, readRetryInterval) {
 			return nil, false
@@ -85,10 +104,9 @@
 // lateLaunches returns the attempts in the progress records of a cancelled job that the leader had not released by its
 // latest snapshot. If a record cannot be decoded, this is logged, and only the attempts that were decoded are returned.
 func (r *leaseRenewer) lateLaunches(
-	job wire.JobID, cancelledAt micros.OptionalTimestamp, records []wire.KeyValue,
+	job cancelledJob, published publishedLeases, records []wire.KeyValue,
 ) []lateLaunch {
 	window := manager.LaunchAndStopWindow(micros.Seconds(r.cfg.Settings.Deployment.Workers.CancelS))
-	published := indexLeases(r.cfg.Health.LatestSnapshot(), job)
 	var launches []lateLaunch
 	for _, record := range records {
 		var progress state.ProgressRecord
@@ -96,16 +114,16 @@
 			r.cfg.Log.Error("cannot decode a progress record", "key", record.Key, "error", err)
 		}
 		for _, placement := range progress.Active {
-			if published.released(placement) {
+			if published.released(job.id, placement) {
 				continue
 			}
 			launches = append(launches, lateLaunch{
 				machine:     placement.Machine,
-				job:         job,
-				task:        wire.TaskName(job, placement.Task),
+				job:         job.id,
+				task:        wire.TaskName(job.id, placement.Task),
 				attempt:     placement.Attempt,
 				incarnation: placement.Incarnation,
-				until:       cancelledAt.Add(window),
+				until:       job.cancelledAt.Add(window),
 			})
 		}
 	}
@@ -114,9 +132,7 @@
 
 // logLateLaunches logs the attempts of a cancelled job whose launch may still arrive, if there are any. The response to
 // a heartbeat fences off those of earlier terms.
-func (r *leaseRenewer) logLateLaunches(
-	job wire.JobID, cancelledAt micros.OptionalTimestamp, launches []lateLaunch,
-) {
+func (r *leaseRenewer) logLateLaunches(job cancelledJob, launches []lateLaunch) {
 	if len(launches) == 0 {
 		return
 	}
@@ -126,6 +142,6 @@
 			ofEarlierTerms++
 		}
 	}
-	r.cfg.Log.Info("launches of a cancelled job may still arrive", "fencing_token", r.token, "job", job,
-		"cancelled", cancelledAt.Age(r.cfg.Clock.Now()), "attempts", len(launches), "of_earlier_terms", ofEarlierTerms)
+	r.cfg.Log.Info("launches of a cancelled job may still arrive", "fencing_token", r.token, "job", job.id,
+		"cancelled", job.cancelledAt.Age(r.cfg.Clock.Now()), "attempts", len(launches), "of_earlier_terms", ofEarlierTerms)
 }
--- a/internal/follower/published_leases_test.go
+++ b/internal/follower/published_leases_test.go
@@ -46,7 +46,8 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			got := indexLeases(c.latest, c.job).released(state.Placement{Machine: c.machine, Attempt: c.attempt})
+			index := indexLeases(c.latest, []cancelledJob{{id: c.job}})
+			got := index.released(c.job, state.Placement{Machine: c.machine, Attempt: c.attempt})
 			if got != c.want {
 				t.Errorf("released: %v, want %v", got, c.want)
 			}
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -78,12 +78,6 @@
 	return observed.snapshot
 }
 
-// LeaderStoreReachableAt returns when the latest snapshot of a leader that could reach the store arrived, which is
-// unknown if none has arrived.
-func (m *Monitor) LeaderStoreReachableAt() micros.OptionalTimestamp {
-	return m.leaderStoreReachable.get()
-}
-
 // Progress returns how many of a job's tasks are done and how many are running, according to the latest snapshot.
 func (m *Monitor) Progress(job wire.JobID) (done, running int) {
 	observed := m.latest.Load()
@@ -104,7 +98,7 @@
 	if at, known := m.lastStoreResponse.get().Get(); known {
 		silentSince = at
 	}
-	reachableAt, reachableByLeader := m.LeaderStoreReachableAt().Get()
+	reachableAt, reachableByLeader := m.leaderStoreReachable.get().Get()
 	return now.Sub(silentSince) <= maxStoreSilence ||
 		!reachableByLeader || now.Sub(reachableAt) >= leaderStatusTTL
 }
--- a/internal/health/monitor_test.go
+++ b/internal/health/monitor_test.go
@@ -19,8 +19,8 @@
 	if done, running := monitor.Progress("a"); done != 3 || running != 2 || monitor.LatestSnapshot() != published {
 		t.Errorf("got %d done, %d running, want 3 and 2", done, running)
 	}
-	if _, known := monitor.LeaderStoreReachableAt().Get(); known {
-		t.Error("LeaderStoreReachableAt is set by the snapshot of a leader that could not reach the store")
+	if _, known := monitor.leaderStoreReachable.get().Get(); known {
+		t.Error("leaderStoreReachable is set by the snapshot of a leader that could not reach the store")
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,8 +38,7 @@
 	idleTimeout   = time.Minute
 )
 
-// Route is an additional service on the listener of Serve. It handles POST requests to all paths below Prefix, which
-// must end with a slash.
+// Route is an additional service on the listener of Serve.
 type Route struct {
 	Method  string
 	Pattern string // a path, in which the last element may be *NAME for any remainder
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -50,10 +50,10 @@
 	names, variants := scenario.Variants()
 	for i, variant := range variants {
 		if names[i] == "" {
-			runInBubble(t, variant)
+			RunInBubble(t, variant)
 			continue
 		}
-		t.Run(names[i], func(t *testing.T) { runInBubble(t, variant) })
+		t.Run(names[i], func(t *testing.T) { RunInBubble(t, variant) })
 	}
 }
 
@@ -65,7 +65,8 @@
 	synctest.Test(t, run)
 }
 
-func runInBubble(t *testing.T, scenario *Scenario) {
+// RunInBubble runs a scenario on a virtual clock. The controllers' log is shown if it fails, and with -v.
+func RunInBubble(t *testing.T, scenario *Scenario) {
 	t.Helper()
 	var logs bytes.Buffer
 	var err error
--- a/internal/scenario/soak/soak_test.go
+++ b/internal/scenario/soak/soak_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"strconv"
@@ -40,15 +39,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var logs bytes.Buffer
-			scenario.InBubble(t, func(t *testing.T) {
-				t.Helper()
-				err = drawn.Run(t.Context(), &logs)
-			})
-			if err != nil {
-				t.Log(logs.String())
-				t.Error(err)
-			}
+			scenario.RunInBubble(t, drawn)
 		})
 	}
 }
